Start the project: stand-ins for members and platform, the fleet's log of changes, settings

Cause: nothing exists yet; the whole path needs systems to be served against. Change: a member stand-in (PostgreSQL wire, SQLite, terms, log, replication), a platform stand-in, a fault-injecting TCP proxy; the fleet's configuration as a log of conditional rows; settings with a JSON Schema and generated types. Measured: it builds; nothing has been run yet, and no test exists.

--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,8 @@
+//! Settings of a daemon: read, checked, and merged with their defaults.
+
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod daemon_settings;
+pub mod finding;
+pub mod load;
+pub mod schema_check;
--- /dev/null
+++ b/src/settings/finding.rs
@@ -0,0 +1,48 @@
+//! What is wrong with a setting, and where.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Longest value that is shown in full, in characters.
+const MAX_SHOWN_CHARS: usize = 60;
+
+/// A value that breaks a rule.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// JSON pointer to the value.
+    pub path: String,
+    /// The value, shortened.
+    pub value: String,
+    /// The rule that it breaks.
+    pub rule: String,
+}
+
+impl Finding {
+    /// Creates a finding.
+    pub fn new<Value, Rule>(path: &str, value: Value, rule: Rule) -> Self
+    where
+        Value: fmt::Display,
+        Rule: Into<String>,
+    {
+        Self {
+            path: if path.is_empty() { "/".to_owned() } else { path.to_owned() },
+            value: shorten(&value.to_string()),
+            rule: rule.into(),
+        }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: value {} {}", self.path, self.value, self.rule)
+    }
+}
+
+fn shorten(text: &str) -> String {
+    match text.char_indices().nth(MAX_SHOWN_CHARS) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text.to_owned(),
+    }
+}
--- /dev/null
+++ b/src/settings/schema_check.rs
@@ -0,0 +1,85 @@
+//! Checks of a JSON text against a JSON Schema.
+
+use serde_json::Value;
+
+use super::finding::Finding;
+
+/// Least likeness of a known name for it to be suggested in place of an unknown one.
+const MIN_LIKENESS: f64 = 0.7;
+
+/// Paths whose values must not be shown.
+const SECRET_FIELDS: [&str; 2] = ["member_password", "shared_secret"];
+
+/// Parses a text and checks it against a schema.
+///
+/// # Errors
+///
+/// Returns every finding, in the order of their places.
+pub fn check(text: &str, schema_text: &str) -> Result<Value, Vec<Finding>> {
+    let value: Value = serde_json::from_str(text)
+        .map_err(|error| vec![Finding::new("/", "text", format!("is not JSON: {error}"))])?;
+    let schema: Value = serde_json::from_str(schema_text)
+        .map_err(|error| vec![Finding::new("/", "schema", format!("is not JSON: {error}"))])?;
+    let validator = jsonschema::validator_for(&schema)
+        .map_err(|error| vec![Finding::new("/", "schema", format!("is not valid: {error}"))])?;
+    let mut findings: Vec<Finding> = validator
+        .iter_errors(&value)
+        .flat_map(|error| describe(&error, &value, &schema))
+        .collect();
+    findings.sort_by(|left, right| (&left.path, &left.rule).cmp(&(&right.path, &right.rule)));
+    match findings.is_empty() {
+        true => Ok(value),
+        false => Err(findings),
+    }
+}
+
+fn describe(error: &jsonschema::ValidationError<'_>, value: &Value, schema: &Value) -> Vec<Finding> {
+    let path = error.instance_path().to_string();
+    if let jsonschema::error::ValidationErrorKind::AdditionalProperties { unexpected } = error.kind()
+    {
+        let known = known_names(schema);
+        let finding = |name: &String| {
+            let path = format!("{path}/{name}");
+            let shown = value.pointer(&path).cloned().unwrap_or_default();
+            Finding::new(&path, shown, unknown_rule(name, &known))
+        };
+        return unexpected.iter().map(finding).collect();
+    }
+    let is_secret = SECRET_FIELDS.iter().any(|field| path.ends_with(field));
+    let instance = error.instance();
+    let (shown, rule) = match is_secret {
+        true => ("(hidden)".to_owned(), "does not fit its rule in the schema".to_owned()),
+        false => (instance.to_string(), format!("breaks the rule: {error}")),
+    };
+    vec![Finding::new(&path, shown, rule)]
+}
+
+fn unknown_rule(name: &str, known: &[String]) -> String {
+    let likeness = |known: &&String| strsim::jaro_winkler(name, known);
+    let best = known.iter().max_by(|left, right| likeness(left).total_cmp(&likeness(right)));
+    match best.filter(|known| likeness(known) >= MIN_LIKENESS) {
+        Some(best) => format!("is not a known setting; did you mean \"{best}\"?"),
+        None => "is not a known setting".to_owned(),
+    }
+}
+
+/// Collects every property name that the schema defines.
+fn known_names(schema: &Value) -> Vec<String> {
+    let mut names = Vec::new();
+    collect_names(schema, &mut names);
+    names.sort();
+    names.dedup();
+    names
+}
+
+fn collect_names(schema: &Value, names: &mut Vec<String>) {
+    let Some(object) = schema.as_object() else {
+        return;
+    };
+    if let Some(properties) = object.get("properties").and_then(Value::as_object) {
+        names.extend(properties.keys().cloned());
+    }
+    for child in object.values() {
+        collect_names(child, names);
+    }
+}
--- /dev/null
+++ b/src/stand_in/member/statement.rs
@@ -0,0 +1,122 @@
+//! Statements as a member classifies and logs them.
+
+use rusqlite::types::Value;
+use serde::Deserialize;
+use serde::Serialize;
+use sqlparser::ast::Statement;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+
+use super::control_call::ControlCall;
+use crate::wire::sql_error::SqlError;
+use crate::wire::sql_state;
+
+/// A parameter value in the log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum LoggedValue {
+    /// SQL NULL.
+    Null,
+    /// A 64-bit integer.
+    Integer(i64),
+    /// A 64-bit float.
+    Real(f64),
+    /// Text.
+    Text(String),
+    /// Bytes.
+    Blob(Vec<u8>),
+}
+
+impl From<&LoggedValue> for Value {
+    fn from(value: &LoggedValue) -> Self {
+        match value {
+            LoggedValue::Null => Self::Null,
+            LoggedValue::Integer(number) => Self::Integer(*number),
+            LoggedValue::Real(number) => Self::Real(*number),
+            LoggedValue::Text(text) => Self::Text(text.clone()),
+            LoggedValue::Blob(bytes) => Self::Blob(bytes.clone()),
+        }
+    }
+}
+
+/// A write with its parameters.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoggedStatement {
+    /// Text of the statement.
+    pub sql: String,
+    /// Values of `$1`, `$2` and so on.
+    pub parameters: Vec<LoggedValue>,
+}
+
+/// What a member does with a statement.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StatementKind {
+    /// Opens a transaction block.
+    Begin {
+        /// Whether the block may not write.
+        is_read_only: bool,
+    },
+    /// Commits the transaction block.
+    Commit,
+    /// Rolls the transaction block back.
+    Rollback,
+    /// Changes or shows a setting of the session; accepted without effect.
+    Setting(&'static str),
+    /// A call of the group's control interface.
+    Control(ControlCall),
+    /// Reads.
+    Read,
+    /// Writes, with the word that its command tag starts with.
+    Write(&'static str),
+}
+
+/// A statement ready to execute.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemberStatement {
+    /// Text of the statement.
+    pub sql: String,
+    /// What to do with it.
+    pub kind: StatementKind,
+}
+
+/// Parses the statements of a query string.
+///
+/// # Errors
+///
+/// Returns SQLSTATE 42601 when the text is not valid SQL.
+pub fn parse(sql: &str) -> Result<Vec<MemberStatement>, SqlError> {
+    let parsed = Parser::parse_sql(&PostgreSqlDialect {}, sql)
+        .map_err(|error| SqlError::new(sql_state::SYNTAX_ERROR, error.to_string()))?;
+    parsed.iter().map(classify).collect()
+}
+
+fn classify(statement: &Statement) -> Result<MemberStatement, SqlError> {
+    let kind = match statement {
+        Statement::StartTransaction { modes, .. } => StatementKind::Begin {
+            is_read_only: modes.iter().any(|mode| mode.to_string() == "READ ONLY"),
+        },
+        Statement::Commit { .. } => StatementKind::Commit,
+        Statement::Rollback { .. } => StatementKind::Rollback,
+        Statement::Set(_) | Statement::Reset(_) => StatementKind::Setting("SET"),
+        Statement::Discard { .. } => StatementKind::Setting("DISCARD ALL"),
+        Statement::Call(function) => StatementKind::Control(ControlCall::parse(function)?),
+        Statement::Query(_) => StatementKind::Read,
+        Statement::Insert(_) => StatementKind::Write("INSERT 0"),
+        Statement::Update { .. } => StatementKind::Write("UPDATE"),
+        Statement::Delete(_) => StatementKind::Write("DELETE"),
+        Statement::CreateTable(_) => StatementKind::Write("CREATE TABLE"),
+        Statement::CreateIndex(_) => StatementKind::Write("CREATE INDEX"),
+        Statement::Drop { .. } => StatementKind::Write("DROP TABLE"),
+        other => {
+            let word = other.to_string();
+            let word = word.split(' ').next().unwrap_or_default().to_owned();
+            return Err(SqlError::new(
+                sql_state::NOT_SUPPORTED,
+                format!("{word} is not supported by this member"),
+            ));
+        }
+    };
+    Ok(MemberStatement {
+        sql: statement.to_string(),
+        kind,
+    })
+}
--- /dev/null
+++ b/src/wire/frontend_codec.rs
@@ -0,0 +1,82 @@
+//! Codec for connections on which this process is the PostgreSQL server.
+
+use bytes::BytesMut;
+use pgwire::error::PgWireError;
+use pgwire::messages::DecodeContext;
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::messages::PgWireFrontendMessage;
+use pgwire::messages::ProtocolVersion;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+
+/// Bytes of a message's type and length fields.
+const HEADER_BYTES: usize = 5;
+
+/// Largest startup packet accepted from a caller that is not yet known, in bytes.
+const MAX_STARTUP_BYTES: usize = 10_000;
+
+/// Decodes what callers send and encodes what they are sent.
+#[derive(Debug)]
+pub struct FrontendCodec {
+    context: DecodeContext,
+    max_message_bytes: usize,
+}
+
+impl FrontendCodec {
+    /// Creates a codec that refuses any message longer than `max_message_bytes`.
+    pub fn new(max_message_bytes: usize) -> Self {
+        Self {
+            context: DecodeContext::new(ProtocolVersion::PROTOCOL3_0),
+            max_message_bytes,
+        }
+    }
+
+    /// Moves on from the negotiation of encryption to the startup message.
+    pub fn expect_startup(&mut self) {
+        self.context.awaiting_frontend_ssl = false;
+    }
+
+    /// Moves on from the startup message to ordinary messages.
+    pub fn expect_messages(&mut self) {
+        self.context.awaiting_frontend_ssl = false;
+        self.context.awaiting_frontend_startup = false;
+    }
+
+    fn check_length(&self, source: &BytesMut) -> Result<(), PgWireError> {
+        let (at, limit_bytes) = if self.context.awaiting_frontend_startup {
+            (0, MAX_STARTUP_BYTES)
+        } else {
+            (1, self.max_message_bytes)
+        };
+        let Some(field) = source.get(at..at + HEADER_BYTES - 1) else {
+            return Ok(());
+        };
+        let length_bytes = field.iter().fold(0, |sum, byte| sum << 8 | usize::from(*byte));
+        if length_bytes > limit_bytes {
+            return Err(PgWireError::MessageTooLarge(limit_bytes, length_bytes));
+        }
+        Ok(())
+    }
+}
+
+impl Decoder for FrontendCodec {
+    type Item = PgWireFrontendMessage;
+    type Error = PgWireError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
+        self.check_length(source)?;
+        PgWireFrontendMessage::decode(source, &self.context)
+    }
+}
+
+impl Encoder<PgWireBackendMessage> for FrontendCodec {
+    type Error = PgWireError;
+
+    fn encode(
+        &mut self,
+        item: PgWireBackendMessage,
+        target: &mut BytesMut,
+    ) -> Result<(), Self::Error> {
+        item.encode(target)
+    }
+}
