--- /dev/null
+++ b/src/caller.rs
@@ -0,0 +1,17 @@
+//! Callers: PostgreSQL connections, and what their requests need.
+
+pub mod classify;
+pub mod extended_batch;
+pub mod guard;
+pub mod listener;
+pub mod local_statement;
+pub mod reply_plan;
+pub mod request_id;
+pub mod request_runner;
+pub mod safe_functions;
+pub mod session;
+pub mod session_settings;
+pub mod startup;
+pub mod statement_class;
+pub mod token;
+pub mod transaction_block;
--- /dev/null
+++ b/src/caller/classify.rs
@@ -0,0 +1,227 @@
+//! Decides what a statement needs, from its syntax tree.
+//!
+//! The rule for replicas is narrow on purpose: a plain query without locks, without writes in its
+//! WITH parts, and with no functions but those known to compute only. Whatever is not recognised
+//! runs on the primary, over a connection that is closed afterwards.
+
+use std::ops::ControlFlow;
+
+use sqlparser::ast::DiscardObject;
+use sqlparser::ast::Expr;
+use sqlparser::ast::Function;
+use sqlparser::ast::ObjectName;
+use sqlparser::ast::Query;
+use sqlparser::ast::Reset;
+use sqlparser::ast::Set;
+use sqlparser::ast::SetExpr;
+use sqlparser::ast::Statement;
+use sqlparser::ast::TableFactor;
+use sqlparser::ast::Visit;
+use sqlparser::ast::Visitor;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+
+use super::safe_functions;
+use super::statement_class::StatementClass;
+
+/// Most nested expressions that are parsed.
+const RECURSION_LIMIT: usize = 100;
+
+/// Classifies each statement of a query string.
+///
+/// A text that cannot be parsed is one tainting statement: the member decides about it.
+pub fn classify(sql: &str) -> Vec<StatementClass> {
+    let dialect = PostgreSqlDialect {};
+    let parser = Parser::new(&dialect).with_recursion_limit(RECURSION_LIMIT);
+    let parsed = parser.try_with_sql(sql).and_then(|mut parser| parser.parse_statements());
+    match parsed {
+        Ok(statements) => statements.iter().map(classify_one).collect(),
+        Err(_) => vec![StatementClass::Tainting],
+    }
+}
+
+fn classify_one(statement: &Statement) -> StatementClass {
+    let functions = Functions::of(statement);
+    if let Some(reason) = functions.refusal {
+        return StatementClass::Refused(reason);
+    }
+    match statement {
+        Statement::Query(query) => classify_query(query, functions.only_read),
+        Statement::StartTransaction { modes, .. } => StatementClass::Begin {
+            sql: statement.to_string(),
+            is_read_only: modes.iter().any(|mode| mode.to_string() == "READ ONLY"),
+        },
+        Statement::Commit { chain: false, .. } => StatementClass::Commit,
+        Statement::Rollback {
+            chain: false,
+            savepoint: None,
+        } => StatementClass::Rollback,
+        Statement::Commit { .. } => refused("AND CHAIN"),
+        Statement::Rollback { savepoint, .. } => match savepoint {
+            Some(_) => StatementClass::Write,
+            None => refused("AND CHAIN"),
+        },
+        Statement::Savepoint { .. } | Statement::ReleaseSavepoint { .. } => StatementClass::Write,
+        Statement::Set(set) => classify_set(set),
+        Statement::Reset(reset) => match &reset.reset {
+            Reset::ALL => StatementClass::DiscardAll,
+            Reset::ConfigurationParameter(name) => StatementClass::Set {
+                name: name.to_string().to_lowercase(),
+                value: None,
+            },
+            Reset::SessionAuthorization => refused("RESET SESSION AUTHORIZATION"),
+        },
+        Statement::Discard { object_type } => match object_type {
+            DiscardObject::ALL => StatementClass::DiscardAll,
+            _ => refused("DISCARD"),
+        },
+        Statement::ShowVariable { variable } => classify_show(variable),
+        Statement::Insert(_) | Statement::Update(_) | Statement::Delete(_) => StatementClass::Write,
+        Statement::Merge { .. } | Statement::Truncate { .. } => StatementClass::Write,
+        Statement::CreateTable(table) if table.temporary => refused("CREATE TEMPORARY TABLE"),
+        Statement::CreateTable(_) | Statement::CreateIndex(_) => StatementClass::Write,
+        Statement::AlterTable { .. } | Statement::Drop { .. } => StatementClass::Write,
+        Statement::CreateView { .. } | Statement::Analyze { .. } => StatementClass::Write,
+        Statement::Explain { .. } => StatementClass::Write,
+        Statement::Copy { .. } => refused("COPY"),
+        Statement::LISTEN { .. } => refused("LISTEN"),
+        Statement::UNLISTEN { .. } => refused("UNLISTEN"),
+        Statement::Prepare { .. } => refused("PREPARE as a statement"),
+        Statement::Execute { .. } => refused("EXECUTE as a statement"),
+        Statement::Deallocate { .. } => refused("DEALLOCATE"),
+        Statement::Declare { .. } => refused("DECLARE"),
+        Statement::Fetch { .. } | Statement::Close { .. } => refused("a cursor"),
+        _ => StatementClass::Tainting,
+    }
+}
+
+fn refused(what: &str) -> StatementClass {
+    StatementClass::Refused(format!("{what} is not supported through the proxy"))
+}
+
+fn classify_query(query: &Query, functions_only_read: bool) -> StatementClass {
+    match functions_only_read && only_reads(query) {
+        true => StatementClass::Read,
+        false => StatementClass::Write,
+    }
+}
+
+fn only_reads(query: &Query) -> bool {
+    let parts = query.with.iter().flat_map(|with| &with.cte_tables);
+    let has_reading_parts = parts.into_iter().all(|part| only_reads(&part.query));
+    query.locks.is_empty() && has_reading_parts && body_only_reads(&query.body)
+}
+
+fn body_only_reads(body: &SetExpr) -> bool {
+    match body {
+        SetExpr::Select(select) => select.into.is_none(),
+        SetExpr::Query(query) => only_reads(query),
+        SetExpr::SetOperation { left, right, .. } => {
+            body_only_reads(left) && body_only_reads(right)
+        }
+        SetExpr::Values(_) | SetExpr::Table(_) => true,
+        _ => false,
+    }
+}
+
+fn classify_show(variable: &[sqlparser::ast::Ident]) -> StatementClass {
+    let words: Vec<String> = variable.iter().map(|word| word.value.to_lowercase()).collect();
+    let name = words.join(".");
+    match name.starts_with("snipehead") {
+        true => StatementClass::Show { name },
+        false => StatementClass::Write,
+    }
+}
+
+fn classify_set(set: &Set) -> StatementClass {
+    match set {
+        Set::SingleAssignment {
+            scope: Some(sqlparser::ast::ContextModifier::Local),
+            ..
+        } => StatementClass::Write,
+        Set::SingleAssignment {
+            variable, values, ..
+        } => StatementClass::Set {
+            name: variable.to_string().to_lowercase(),
+            value: setting_value(values),
+        },
+        Set::SetTimeZone { local: false, value } => StatementClass::Set {
+            name: "timezone".to_owned(),
+            value: setting_value(std::slice::from_ref(value)),
+        },
+        Set::SetNames { charset_name, .. } => StatementClass::Set {
+            name: "client_encoding".to_owned(),
+            value: Some(charset_name.value.clone()),
+        },
+        Set::SetTransaction { session: false, .. } | Set::SetTimeZone { .. } => {
+            StatementClass::Write
+        }
+        _ => refused("this form of SET"),
+    }
+}
+
+/// Returns the text of a setting's value; DEFAULT stands for none.
+fn setting_value(values: &[Expr]) -> Option<String> {
+    let text = |value: &Expr| match value {
+        Expr::Value(literal) => match literal.value.clone().into_string() {
+            Some(text) => text,
+            None => literal.to_string(),
+        },
+        other => other.to_string(),
+    };
+    let joined = values.iter().map(text).collect::<Vec<_>>().join(", ");
+    match joined.eq_ignore_ascii_case("default") {
+        true => None,
+        false => Some(joined),
+    }
+}
+
+/// What the functions within a statement mean for it.
+struct Functions {
+    only_read: bool,
+    refusal: Option<String>,
+}
+
+impl Functions {
+    fn of(statement: &Statement) -> Self {
+        let mut functions = Self {
+            only_read: true,
+            refusal: None,
+        };
+        if let Statement::Call(function) = statement {
+            functions.note(&function.name);
+        }
+        let _ = statement.visit(&mut functions);
+        functions
+    }
+
+    fn note(&mut self, name: &ObjectName) {
+        let name = name.to_string().to_lowercase().replace('"', "");
+        let name = name.strip_prefix("pg_catalog.").unwrap_or(&name);
+        self.only_read &= safe_functions::is_read_only(name);
+        let last = name.rsplit('.').next().unwrap_or(name);
+        self.refusal = self.refusal.take().or_else(|| safe_functions::refusal(last));
+    }
+}
+
+impl Visitor for Functions {
+    type Break = ();
+
+    fn pre_visit_expr(&mut self, expression: &Expr) -> ControlFlow<()> {
+        if let Expr::Function(Function { name, .. }) = expression {
+            self.note(name);
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
+        match factor {
+            TableFactor::Table { args: None, .. }
+            | TableFactor::Derived { .. }
+            | TableFactor::NestedJoin { .. } => {}
+            TableFactor::Table { name, .. } | TableFactor::Function { name, .. } => self.note(name),
+            _ => self.only_read = false,
+        }
+        ControlFlow::Continue(())
+    }
+}
--- /dev/null
+++ b/src/caller/session.rs
@@ -0,0 +1,705 @@
+//! The session of an admitted caller.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use pgwire::messages::PgWireBackendMessage as Reply;
+use pgwire::messages::PgWireFrontendMessage as Request;
+use pgwire::messages::data::NoData;
+use pgwire::messages::data::ParameterDescription;
+use pgwire::messages::extendedquery::Bind;
+use pgwire::messages::extendedquery::BindComplete;
+use pgwire::messages::extendedquery::Close;
+use pgwire::messages::extendedquery::CloseComplete;
+use pgwire::messages::extendedquery::Describe;
+use pgwire::messages::extendedquery::Execute;
+use pgwire::messages::extendedquery::Parse;
+use pgwire::messages::extendedquery::ParseComplete;
+use pgwire::messages::response::EmptyQueryResponse;
+use pgwire::messages::response::ReadyForQuery;
+use pgwire::messages::startup::Authentication;
+use pgwire::messages::startup::BackendKeyData;
+use pgwire::messages::startup::ParameterStatus;
+use pgwire::messages::startup::SecretKey;
+
+use super::classify::classify;
+use super::extended_batch::BindContent;
+use super::extended_batch::STATEMENT_TARGET;
+use super::extended_batch::Work;
+use super::extended_batch::WorkItem;
+use super::guard::SessionGuard;
+use super::local_statement;
+use super::request_runner::RequestRunner;
+use super::request_runner::SessionEnd;
+use super::request_runner::flush;
+use super::request_runner::send;
+use super::session_settings::SessionSettings;
+use super::startup::AdmittedCaller;
+use super::startup::CallerWire;
+use super::statement_class::StatementClass;
+use super::transaction_block::TransactionBlock;
+use crate::traffic::cancel_registry::CancelKey;
+use crate::traffic::context::TrafficContext;
+use crate::wire::sql_error::SqlError;
+use crate::wire::sql_state;
+
+/// Version that callers are told; their drivers choose features by it.
+const SERVER_VERSION: &str = "16.0";
+
+/// Most bytes of a batch that is not complete yet.
+const MAX_BATCH_BYTES: usize = 32 << 20;
+
+/// Most prepared statements of one session.
+const MAX_PREPARED: usize = 2_000;
+
+/// Classified texts that a session remembers.
+const MAX_CLASSIFIED: usize = 64;
+
+/// A prepared statement of the caller's.
+#[derive(Clone, Debug)]
+struct Prepared {
+    query: String,
+    type_oids: Vec<u32>,
+    class: StatementClass,
+    is_empty: bool,
+}
+
+/// How the handling of a message ends.
+type Handled = Result<(), SessionEnd>;
+
+/// Why a batch is abandoned up to its Sync.
+enum BatchError {
+    /// The caller is to be told.
+    Tell(SqlError),
+    /// The caller has been told.
+    Told,
+    /// The session ends.
+    End(SessionEnd),
+}
+
+impl From<SessionEnd> for BatchError {
+    fn from(end: SessionEnd) -> Self {
+        Self::End(end)
+    }
+}
+
+/// The session of an admitted caller.
+pub struct CallerSession {
+    context: Arc<TrafficContext>,
+    runner: RequestRunner,
+    prepared: HashMap<String, Arc<Prepared>>,
+    portals: HashMap<String, Arc<Prepared>>,
+    batch: Vec<Request>,
+    batch_bytes: usize,
+    skips_to_sync: bool,
+    classified: HashMap<String, Arc<Vec<StatementClass>>>,
+}
+
+impl CallerSession {
+    /// Serves an admitted caller until it leaves or must leave.
+    pub async fn serve(context: Arc<TrafficContext>, caller: AdmittedCaller) {
+        let AdmittedCaller {
+            mut wire,
+            workspace,
+            key_id,
+            group,
+            options,
+        } = caller;
+        let (cancel_key, cancel) = context.cancels.add();
+        let guard = SessionGuard::new(
+            context.snapshot.clone(),
+            context.standing.clone(),
+            key_id,
+            workspace.clone(),
+            group.clone(),
+        );
+        let settings = SessionSettings::new(workspace, group);
+        let mut session = Self {
+            runner: RequestRunner::new(context.clone(), cancel, settings),
+            context: context.clone(),
+            prepared: HashMap::new(),
+            portals: HashMap::new(),
+            batch: Vec::new(),
+            batch_bytes: 0,
+            skips_to_sync: false,
+            classified: HashMap::new(),
+        };
+        let ended = match session.greet(&mut wire, cancel_key, options).await {
+            Ok(()) => session.serve_messages(&mut wire, guard).await,
+            Err(end) => end,
+        };
+        if let SessionEnd::Fatal(error) = ended {
+            let _ = wire.send(error.into_message()).await;
+        }
+        context.cancels.remove(cancel_key);
+    }
+
+    async fn greet(
+        &mut self,
+        wire: &mut CallerWire,
+        cancel_key: CancelKey,
+        options: BTreeMap<String, String>,
+    ) -> Handled {
+        for (name, value) in options {
+            let set = self.runner.settings.set(&name, Some(value), &self.context.signer);
+            if let Err(error) = set {
+                let fatal = SqlError::fatal(&error.code, error.message);
+                return Err(SessionEnd::Fatal(fatal));
+            }
+        }
+        send(wire, Reply::Authentication(Authentication::Ok)).await?;
+        let parameters = [
+            ("server_version", SERVER_VERSION),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("DateStyle", "ISO, MDY"),
+            ("integer_datetimes", "on"),
+            ("standard_conforming_strings", "on"),
+        ];
+        for (name, value) in parameters {
+            let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+            send(wire, Reply::ParameterStatus(status)).await?;
+        }
+        let secret = SecretKey::I32(cancel_key.secret);
+        let key_data = BackendKeyData::new(cancel_key.process_id, secret);
+        send(wire, Reply::BackendKeyData(key_data)).await?;
+        self.send_ready(wire).await
+    }
+
+    async fn serve_messages(&mut self, wire: &mut CallerWire, guard: SessionGuard) -> SessionEnd {
+        loop {
+            let message = match self.next_message(wire, &guard).await {
+                Ok(message) => message,
+                Err(end) => return end,
+            };
+            if let Some(error) = guard.verdict() {
+                return SessionEnd::Fatal(error);
+            }
+            let mut watching = guard.clone();
+            let handled = tokio::select! {
+                handled = self.handle(message, wire) => handled,
+                error = watching.ended() => Err(SessionEnd::Fatal(error)),
+            };
+            if let Err(end) = handled {
+                self.runner.drop_lane();
+                return end;
+            }
+        }
+    }
+
+    /// Waits for the caller's next message. An idle session also ends when the daemon leaves.
+    async fn next_message(
+        &mut self,
+        wire: &mut CallerWire,
+        guard: &SessionGuard,
+    ) -> Result<Request, SessionEnd> {
+        let is_idle =
+            self.runner.block.is_none() && !self.runner.has_lane() && self.batch.is_empty();
+        let mut watching = guard.clone();
+        let ended = async {
+            match is_idle {
+                true => watching.idle_ended().await,
+                false => watching.ended().await,
+            }
+        };
+        let next = tokio::select! {
+            biased;
+            next = wire.next() => next,
+            error = ended => return Err(SessionEnd::Fatal(error)),
+        };
+        match next {
+            Some(Ok(message)) => Ok(message),
+            Some(Err(error)) => {
+                let message = format!("the message cannot be read: {error}");
+                let error = SqlError::fatal(sql_state::PROTOCOL_VIOLATION, message);
+                Err(SessionEnd::Fatal(error))
+            }
+            None => Err(SessionEnd::CallerGone),
+        }
+    }
+
+    async fn handle(&mut self, message: Request, wire: &mut CallerWire) -> Handled {
+        match message {
+            Request::Terminate(_) => Err(SessionEnd::CallerGone),
+            Request::Query(query) => {
+                self.run_simple(&query.query, wire).await?;
+                self.send_ready(wire).await
+            }
+            Request::Sync(_) => {
+                let is_skipping = std::mem::take(&mut self.skips_to_sync);
+                if !is_skipping {
+                    self.run_batch(wire, WorkItem::Sync).await?;
+                }
+                self.runner.resync().await;
+                self.send_ready(wire).await
+            }
+            Request::Flush(_) => {
+                if !self.skips_to_sync {
+                    self.run_batch(wire, WorkItem::Flush).await?;
+                }
+                flush(wire).await
+            }
+            Request::CopyData(_) | Request::CopyDone(_) | Request::CopyFail(_) => Ok(()),
+            message if message.is_extended_query() => self.collect(message),
+            _ => Err(SessionEnd::Fatal(SqlError::fatal(
+                sql_state::PROTOCOL_VIOLATION,
+                "the message is not expected here",
+            ))),
+        }
+    }
+
+    fn collect(&mut self, message: Request) -> Handled {
+        if self.skips_to_sync {
+            return Ok(());
+        }
+        self.batch_bytes += match &message {
+            Request::Parse(parse) => parse.query.len(),
+            Request::Bind(bind) => bind.parameters.iter().flatten().map(|value| value.len()).sum(),
+            _ => size_of::<Request>(),
+        };
+        if self.batch_bytes > MAX_BATCH_BYTES {
+            let message = "a batch of messages without Sync is too large";
+            let error = SqlError::fatal(sql_state::PROTOCOL_VIOLATION, message);
+            return Err(SessionEnd::Fatal(error));
+        }
+        self.batch.push(message);
+        Ok(())
+    }
+
+    async fn send_ready(&mut self, wire: &mut CallerWire) -> Handled {
+        let ready = ReadyForQuery::new(self.runner.status());
+        send(wire, Reply::ReadyForQuery(ready)).await?;
+        flush(wire).await
+    }
+
+    fn classes_of(&mut self, sql: &str) -> Arc<Vec<StatementClass>> {
+        if let Some(known) = self.classified.get(sql) {
+            return known.clone();
+        }
+        let classes = Arc::new(classify(sql));
+        if self.classified.len() >= MAX_CLASSIFIED {
+            self.classified.clear();
+        }
+        self.classified.insert(sql.to_owned(), classes.clone());
+        classes
+    }
+
+    async fn run_simple(&mut self, sql: &str, wire: &mut CallerWire) -> Handled {
+        let classes = self.classes_of(sql);
+        let refusal = classes.iter().find_map(|class| match class {
+            StatementClass::Refused(reason) => Some(reason.clone()),
+            _ => None,
+        });
+        if let Some(reason) = refusal {
+            return self.tell(refused(&reason), wire).await;
+        }
+        match classes.as_slice() {
+            [] => send(wire, Reply::EmptyQueryResponse(EmptyQueryResponse::new())).await,
+            [class] if self.answers_locally(class) => match self.run_local(class, wire).await {
+                Ok(()) => Ok(()),
+                Err(BatchError::Tell(error)) => self.tell(error, wire).await,
+                Err(BatchError::Told) => Ok(()),
+                Err(BatchError::End(end)) => Err(end),
+            },
+            many => {
+                if let Some(error) = self.refuse_mix(many) {
+                    return self.tell(error, wire).await;
+                }
+                let mut work = Work {
+                    items: vec![WorkItem::Query(sql.to_owned())],
+                    statements: many.len() as u64,
+                    ..Work::default()
+                };
+                many.iter().for_each(|class| work.add_needs(class));
+                self.run_work(&work, wire).await.map(drop)
+            }
+        }
+    }
+
+    /// Refuses texts in which statements of the daemon's own stand among others.
+    fn refuse_mix(&self, classes: &[StatementClass]) -> Option<SqlError> {
+        let is_local = |class: &StatementClass| {
+            class.is_local() && !matches!(class, StatementClass::Begin { .. })
+        };
+        if classes.iter().any(is_local) {
+            let message = "not run: send SET, SHOW and DISCARD as texts of their own";
+            return Some(SqlError::new(sql_state::NOT_SUPPORTED, message));
+        }
+        let controls = classes.iter().any(StatementClass::controls_block);
+        let has_unstarted = self.runner.block.as_ref().is_some_and(|block| !block.is_started);
+        if controls && (self.runner.settings.request_id.is_some() || has_unstarted) {
+            let message = "not run: send BEGIN, COMMIT and ROLLBACK as texts of their own here";
+            return Some(SqlError::new(sql_state::NOT_SUPPORTED, message));
+        }
+        None
+    }
+
+    async fn tell(&mut self, error: SqlError, wire: &mut CallerWire) -> Handled {
+        self.runner.fail_block();
+        send(wire, error.into_message()).await
+    }
+
+    /// Returns whether the daemon answers a statement without a member.
+    fn answers_locally(&self, class: &StatementClass) -> bool {
+        let block = self.runner.block.as_ref();
+        match class {
+            StatementClass::Begin { .. } => block.is_none(),
+            StatementClass::Commit | StatementClass::Rollback => {
+                block.is_none_or(|block| !block.is_started)
+            }
+            class => class.is_local(),
+        }
+    }
+
+    async fn run_local(
+        &mut self,
+        class: &StatementClass,
+        wire: &mut CallerWire,
+    ) -> Result<(), BatchError> {
+        let ends_block = matches!(class, StatementClass::Commit | StatementClass::Rollback);
+        if self.runner.is_block_failed() && !ends_block {
+            return Err(BatchError::Tell(in_failed_block()));
+        }
+        let tag = match class {
+            StatementClass::Begin { sql, is_read_only } => {
+                self.runner.block = Some(TransactionBlock::new(sql.clone(), *is_read_only));
+                "BEGIN"
+            }
+            StatementClass::Commit => self.runner.end_unstarted_block(true).await,
+            StatementClass::Rollback => self.runner.end_unstarted_block(false).await,
+            StatementClass::Set { name, value } => {
+                self.set(name, value.clone())?;
+                "SET"
+            }
+            StatementClass::Show { name } => {
+                let shown = self.runner.settings.show(name, &self.context.signer);
+                let value = shown.map_err(BatchError::Tell)?;
+                send(wire, local_statement::text_description(name)).await?;
+                send(wire, local_statement::text_row(&value)).await?;
+                "SHOW"
+            }
+            _ => {
+                self.runner.settings.discard();
+                "DISCARD ALL"
+            }
+        };
+        send(wire, local_statement::command_complete(tag)).await?;
+        Ok(())
+    }
+
+    fn set(&mut self, name: &str, value: Option<String>) -> Result<(), BatchError> {
+        let is_own = name.starts_with("snipehead.");
+        if !is_own && self.runner.block.as_ref().is_some_and(|block| block.is_started) {
+            let message = "not run: inside a transaction use SET LOCAL";
+            return Err(BatchError::Tell(SqlError::new(sql_state::NOT_SUPPORTED, message)));
+        }
+        self.runner.settings.set(name, value, &self.context.signer).map_err(BatchError::Tell)
+    }
+
+    /// Runs work; returns whether it succeeded.
+    async fn run_work(&mut self, work: &Work, wire: &mut CallerWire) -> Result<bool, SessionEnd> {
+        if self.runner.is_block_failed() && !work.ends_block {
+            send(wire, in_failed_block().into_message()).await?;
+            return Ok(false);
+        }
+        self.runner.run(work, wire).await
+    }
+
+    async fn run_batch(&mut self, wire: &mut CallerWire, end: WorkItem) -> Handled {
+        let is_sync = end == WorkItem::Sync;
+        let batch = std::mem::take(&mut self.batch);
+        self.batch_bytes = 0;
+        let outcome = self.run_items(batch, wire, end).await;
+        match outcome {
+            Ok(()) => Ok(()),
+            Err(BatchError::End(end)) => Err(end),
+            Err(BatchError::Told) => {
+                self.skips_to_sync = !is_sync;
+                Ok(())
+            }
+            Err(BatchError::Tell(error)) => {
+                self.skips_to_sync = !is_sync;
+                self.tell(error, wire).await
+            }
+        }
+    }
+
+    async fn run_items(
+        &mut self,
+        batch: Vec<Request>,
+        wire: &mut CallerWire,
+        end: WorkItem,
+    ) -> Result<(), BatchError> {
+        let mut work = Work::default();
+        let mut parsed: Option<Arc<Prepared>> = None;
+        for message in batch {
+            match message {
+                Request::Parse(parse) => {
+                    parsed = self.add_parse(parse, &mut work, wire).await?;
+                }
+                Request::Bind(bind) => self.add_bind(bind, &mut work, &mut parsed, wire).await?,
+                Request::Describe(describe) => {
+                    self.add_describe(describe, &mut work, &mut parsed, wire).await?;
+                }
+                Request::Execute(execute) => self.add_execute(execute, &mut work, wire).await?,
+                Request::Close(close) => self.add_close(close, &mut work, wire).await?,
+                _ => {}
+            }
+        }
+        let needs_member = !work.items.is_empty()
+            || (end == WorkItem::Sync && self.runner.has_lane() && self.runner.block.is_none());
+        if needs_member {
+            self.run_segment(&mut work, wire, end).await?;
+        }
+        Ok(())
+    }
+
+    /// Runs what was collected so far, so that a reply of the daemon's own keeps its place.
+    async fn run_segment(
+        &mut self,
+        work: &mut Work,
+        wire: &mut CallerWire,
+        end: WorkItem,
+    ) -> Result<(), BatchError> {
+        let mut work = std::mem::take(work);
+        if work.items.is_empty() && end == WorkItem::Flush {
+            return Ok(());
+        }
+        work.items.push(end);
+        match self.run_work(&work, wire).await? {
+            true => Ok(()),
+            false => Err(BatchError::Told),
+        }
+    }
+
+    async fn add_parse(
+        &mut self,
+        parse: Parse,
+        work: &mut Work,
+        wire: &mut CallerWire,
+    ) -> Result<Option<Arc<Prepared>>, BatchError> {
+        let classes = self.classes_of(&parse.query);
+        let class = match classes.as_slice() {
+            [] => StatementClass::Read,
+            [class] => class.clone(),
+            _ => {
+                let message = "cannot insert multiple commands into a prepared statement";
+                return Err(BatchError::Tell(SqlError::new(sql_state::SYNTAX_ERROR, message)));
+            }
+        };
+        if let StatementClass::Refused(reason) = &class {
+            return Err(BatchError::Tell(refused(reason)));
+        }
+        if self.prepared.len() >= MAX_PREPARED {
+            let message = format!("a session has at most {MAX_PREPARED} prepared statements");
+            return Err(BatchError::Tell(SqlError::new(sql_state::NO_CAPACITY, message)));
+        }
+        let prepared = Arc::new(Prepared {
+            query: parse.query,
+            type_oids: parse.type_oids,
+            is_empty: classes.is_empty(),
+            class,
+        });
+        self.prepared.insert(parse.name.unwrap_or_default(), prepared.clone());
+        if self.is_local_statement(&prepared) {
+            self.run_segment(work, wire, WorkItem::Flush).await?;
+            send(wire, Reply::ParseComplete(ParseComplete::new())).await?;
+            return Ok(None);
+        }
+        work.add_needs(&prepared.class);
+        work.items.push(parse_item(&prepared, false));
+        Ok(Some(prepared))
+    }
+
+    fn is_local_statement(&self, prepared: &Prepared) -> bool {
+        prepared.is_empty
+            || prepared.class.is_local()
+            || matches!(prepared.class, StatementClass::Commit | StatementClass::Rollback)
+    }
+
+    fn prepared(&self, name: &str) -> Result<Arc<Prepared>, BatchError> {
+        self.prepared.get(name).cloned().ok_or_else(|| {
+            let message = format!("prepared statement \"{name}\" does not exist");
+            BatchError::Tell(SqlError::new(sql_state::UNKNOWN_STATEMENT, message))
+        })
+    }
+
+    /// Makes sure that the member's unnamed statement is this one.
+    fn ensure_parsed(work: &mut Work, parsed: &mut Option<Arc<Prepared>>, wanted: &Arc<Prepared>) {
+        let is_parsed = parsed.as_ref().is_some_and(|parsed| Arc::ptr_eq(parsed, wanted));
+        if !is_parsed {
+            work.items.push(parse_item(wanted, true));
+            *parsed = Some(wanted.clone());
+        }
+        work.add_needs(&wanted.class);
+    }
+
+    async fn add_bind(
+        &mut self,
+        bind: Bind,
+        work: &mut Work,
+        parsed: &mut Option<Arc<Prepared>>,
+        wire: &mut CallerWire,
+    ) -> Result<(), BatchError> {
+        let prepared = self.prepared(&bind.statement_name.unwrap_or_default())?;
+        let portal = bind.portal_name.unwrap_or_default();
+        self.portals.insert(portal.clone(), prepared.clone());
+        if self.is_local_statement(&prepared) {
+            self.run_segment(work, wire, WorkItem::Flush).await?;
+            return Ok(send(wire, Reply::BindComplete(BindComplete::new())).await?);
+        }
+        Self::ensure_parsed(work, parsed, &prepared);
+        work.items.push(WorkItem::Bind(BindContent {
+            portal,
+            parameter_formats: bind.parameter_format_codes,
+            parameters: bind.parameters,
+            result_formats: bind.result_column_format_codes,
+        }));
+        Ok(())
+    }
+
+    async fn add_describe(
+        &mut self,
+        describe: Describe,
+        work: &mut Work,
+        parsed: &mut Option<Arc<Prepared>>,
+        wire: &mut CallerWire,
+    ) -> Result<(), BatchError> {
+        let name = describe.name.unwrap_or_default();
+        let is_statement = describe.target_type == STATEMENT_TARGET;
+        let prepared = match is_statement {
+            true => self.prepared(&name)?,
+            false => self.portal(&name)?,
+        };
+        if self.is_local_statement(&prepared) {
+            self.run_segment(work, wire, WorkItem::Flush).await?;
+            if is_statement {
+                let none = ParameterDescription::new(Vec::new());
+                send(wire, Reply::ParameterDescription(none)).await?;
+            }
+            let columns = match &prepared.class {
+                StatementClass::Show { name } => local_statement::text_description(name),
+                _ => Reply::NoData(NoData::new()),
+            };
+            return Ok(send(wire, columns).await?);
+        }
+        if is_statement {
+            Self::ensure_parsed(work, parsed, &prepared);
+            work.items.push(WorkItem::DescribeStatement);
+        } else {
+            work.items.push(WorkItem::DescribePortal(name));
+        }
+        Ok(())
+    }
+
+    fn portal(&self, name: &str) -> Result<Arc<Prepared>, BatchError> {
+        self.portals.get(name).cloned().ok_or_else(|| {
+            let message = format!("portal \"{name}\" does not exist");
+            BatchError::Tell(SqlError::new("34000", message))
+        })
+    }
+
+    async fn add_execute(
+        &mut self,
+        execute: Execute,
+        work: &mut Work,
+        wire: &mut CallerWire,
+    ) -> Result<(), BatchError> {
+        let name = execute.name.unwrap_or_default();
+        let prepared = self.portal(&name)?;
+        if !self.is_local_statement(&prepared) {
+            work.add_needs(&prepared.class);
+            work.statements += 1;
+            work.items.push(WorkItem::Execute {
+                portal: name,
+                max_rows: execute.max_rows,
+            });
+            return Ok(());
+        }
+        self.run_segment(work, wire, WorkItem::Flush).await?;
+        if prepared.is_empty {
+            let empty = Reply::EmptyQueryResponse(EmptyQueryResponse::new());
+            return Ok(send(wire, empty).await?);
+        }
+        if self.answers_locally(&prepared.class) {
+            return self.execute_local(&prepared.class, wire).await;
+        }
+        self.execute_block_end(&prepared, wire).await
+    }
+
+    async fn execute_local(
+        &mut self,
+        class: &StatementClass,
+        wire: &mut CallerWire,
+    ) -> Result<(), BatchError> {
+        if let StatementClass::Show { name } = class {
+            // The columns were told in answer to Describe.
+            let shown = self.runner.settings.show(name, &self.context.signer);
+            send(wire, local_statement::text_row(&shown.map_err(BatchError::Tell)?)).await?;
+            return Ok(send(wire, local_statement::command_complete("SHOW")).await?);
+        }
+        self.run_local(class, wire).await
+    }
+
+    /// Runs COMMIT or ROLLBACK, or a BEGIN within a block, as a simple query.
+    async fn execute_block_end(
+        &mut self,
+        prepared: &Prepared,
+        wire: &mut CallerWire,
+    ) -> Result<(), BatchError> {
+        let mut work = Work {
+            items: vec![WorkItem::Query(prepared.query.clone())],
+            statements: 1,
+            ..Work::default()
+        };
+        work.add_needs(&prepared.class);
+        match self.run_work(&work, wire).await? {
+            true => Ok(()),
+            false => Err(BatchError::Told),
+        }
+    }
+
+    async fn add_close(
+        &mut self,
+        close: Close,
+        work: &mut Work,
+        wire: &mut CallerWire,
+    ) -> Result<(), BatchError> {
+        let name = close.name.unwrap_or_default();
+        let is_statement = close.target_type == STATEMENT_TARGET;
+        let known = match is_statement {
+            true => self.prepared.remove(&name),
+            false => self.portals.remove(&name),
+        };
+        let is_at_member = !is_statement
+            && known.is_some_and(|prepared| !self.is_local_statement(&prepared))
+            && (self.runner.has_lane() || !work.items.is_empty());
+        if is_at_member {
+            work.items.push(WorkItem::ClosePortal(name));
+            return Ok(());
+        }
+        self.run_segment(work, wire, WorkItem::Flush).await?;
+        Ok(send(wire, Reply::CloseComplete(CloseComplete::new())).await?)
+    }
+}
+
+fn parse_item(prepared: &Prepared, is_added: bool) -> WorkItem {
+    WorkItem::Parse {
+        query: prepared.query.clone(),
+        type_oids: prepared.type_oids.clone(),
+        is_added,
+    }
+}
+
+fn refused(reason: &str) -> SqlError {
+    SqlError::new(sql_state::NOT_SUPPORTED, format!("not run: {reason}"))
+}
+
+fn in_failed_block() -> SqlError {
+    let message =
+        "current transaction is aborted, commands ignored until end of transaction block";
+    SqlError::new(sql_state::IN_FAILED_TRANSACTION, message)
+}
--- /dev/null
+++ b/src/caller/session_settings.rs
@@ -0,0 +1,187 @@
+//! Settings of a caller's session.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::token::TokenContent;
+use super::token::TokenSigner;
+use crate::group::log_position::LogPosition;
+use crate::wire::sql_error::SqlError;
+use crate::wire::sql_state;
+
+/// Settings of PostgreSQL that a session may change. They are set on each connection that the
+/// session borrows, and reset before it is given back.
+const ALLOWED: [&str; 12] = [
+    "bytea_output",
+    "datestyle",
+    "extra_float_digits",
+    "idle_in_transaction_session_timeout",
+    "intervalstyle",
+    "lock_timeout",
+    "search_path",
+    "standard_conforming_strings",
+    "statement_timeout",
+    "timezone",
+    "transaction_isolation",
+    "xmloption",
+];
+
+/// Settings that are accepted and have no effect on results.
+const IGNORED: [&str; 3] = ["application_name", "client_min_messages", "log_statement"];
+
+/// Longest request id, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 200;
+
+/// Settings of a caller's session.
+#[derive(Clone, Debug, Default)]
+pub struct SessionSettings {
+    /// Workspace of the session.
+    pub workspace: Arc<str>,
+    /// Group of the session.
+    pub group: Arc<str>,
+    /// Settings for the member, by name.
+    pub member: BTreeMap<String, String>,
+    /// Age that reads may have, in milliseconds.
+    pub max_age_ms: Option<u64>,
+    /// Id of the next request or transaction.
+    pub request_id: Option<String>,
+    /// What the session wrote, in this group and others.
+    pub floors: BTreeMap<String, LogPosition>,
+    /// Place of the group when the session arrived, once known.
+    pub arrival_floor: Option<LogPosition>,
+    /// Whether a token told what the session wrote before.
+    pub has_token: bool,
+}
+
+impl SessionSettings {
+    /// Creates the settings of a new session.
+    pub fn new(workspace: Arc<str>, group: Arc<str>) -> Self {
+        Self {
+            workspace,
+            group,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the place up to which the session has written in its group.
+    pub fn own_floor(&self) -> LogPosition {
+        self.floors.get(&*self.group).copied().unwrap_or_default()
+    }
+
+    /// Notes a write of the session.
+    pub fn note_write(&mut self, commit: LogPosition) {
+        let floor = self.floors.entry(self.group.to_string()).or_default();
+        *floor = (*floor).max(commit);
+    }
+
+    /// Sets or resets a setting.
+    ///
+    /// # Errors
+    ///
+    /// Returns 22023 for a bad value, and 0A000 for a setting that is not supported.
+    pub fn set(
+        &mut self,
+        name: &str,
+        value: Option<String>,
+        signer: &TokenSigner,
+    ) -> Result<(), SqlError> {
+        match name {
+            "snipehead.max_age_ms" => {
+                self.max_age_ms = value.map(|text| parse_age(&text)).transpose()?;
+            }
+            "snipehead.request_id" => {
+                self.request_id = value.map(check_request_id).transpose()?;
+            }
+            "snipehead.token" => self.take_token(value.as_deref().unwrap_or_default(), signer)?,
+            "client_encoding" | "names" => check_encoding(value.as_deref())?,
+            _ if IGNORED.contains(&name) => {}
+            _ if ALLOWED.contains(&name) => match value {
+                Some(value) => drop(self.member.insert(name.to_owned(), value)),
+                None => drop(self.member.remove(name)),
+            },
+            _ => {
+                let message = format!("setting {name} is not supported through the proxy");
+                return Err(SqlError::new(sql_state::NOT_SUPPORTED, message));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the value of one of the system's own settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns 22023 for a name that does not exist.
+    pub fn show(&self, name: &str, signer: &TokenSigner) -> Result<String, SqlError> {
+        match name {
+            "snipehead.max_age_ms" => {
+                Ok(self.max_age_ms.map(|age_ms| age_ms.to_string()).unwrap_or_default())
+            }
+            "snipehead.request_id" => Ok(self.request_id.clone().unwrap_or_default()),
+            "snipehead.token" => Ok(signer.sign(&TokenContent {
+                workspace: self.workspace.to_string(),
+                floors: self.floors.clone(),
+            })),
+            _ => {
+                let message = format!("setting \"{name}\" does not exist");
+                Err(SqlError::new(sql_state::INVALID_PARAMETER, message))
+            }
+        }
+    }
+
+    /// Forgets all settings, but not what the session wrote.
+    pub fn discard(&mut self) {
+        self.member.clear();
+        self.max_age_ms = None;
+        self.request_id = None;
+    }
+
+    /// Returns statements that put the settings in force on a connection.
+    pub fn setup_sql(&self) -> String {
+        let set = |(name, value): (&String, &String)| {
+            format!("SET {name} = '{}'; ", value.replace('\'', "''"))
+        };
+        self.member.iter().map(set).collect()
+    }
+
+    fn take_token(&mut self, token: &str, signer: &TokenSigner) -> Result<(), SqlError> {
+        let Some(content) = signer.open(token, &self.workspace) else {
+            let message = "the session token is not valid for this workspace";
+            return Err(SqlError::new(sql_state::INVALID_PARAMETER, message));
+        };
+        for (group, floor) in content.floors {
+            let known = self.floors.entry(group).or_default();
+            *known = (*known).max(floor);
+        }
+        self.has_token = true;
+        Ok(())
+    }
+}
+
+fn parse_age(text: &str) -> Result<u64, SqlError> {
+    text.parse().map_err(|_| {
+        let message = format!("accepted age \"{text}\" is not a whole number of milliseconds");
+        SqlError::new(sql_state::INVALID_PARAMETER, message)
+    })
+}
+
+fn check_request_id(text: String) -> Result<String, SqlError> {
+    match text.is_empty() || text.len() > MAX_REQUEST_ID_BYTES {
+        false => Ok(text),
+        true => {
+            let message = format!("a request id has 1 to {MAX_REQUEST_ID_BYTES} bytes");
+            Err(SqlError::new(sql_state::INVALID_PARAMETER, message))
+        }
+    }
+}
+
+fn check_encoding(value: Option<&str>) -> Result<(), SqlError> {
+    let name = value.unwrap_or("UTF8").to_lowercase().replace('-', "");
+    match ["utf8", "unicode"].contains(&name.as_str()) {
+        true => Ok(()),
+        false => {
+            let message = format!("encoding \"{name}\" is not supported; use UTF8");
+            Err(SqlError::new(sql_state::NOT_SUPPORTED, message))
+        }
+    }
+}
--- /dev/null
+++ b/src/caller/startup.rs
@@ -0,0 +1,193 @@
+//! From an accepted connection to an admitted caller.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use pgwire::messages::PgWireBackendMessage as Reply;
+use pgwire::messages::PgWireFrontendMessage as Request;
+use pgwire::messages::SslNegotiationMetaMessage;
+use pgwire::messages::response::GssEncResponse;
+use pgwire::messages::response::SslResponse;
+use pgwire::messages::startup::Authentication;
+use pgwire::messages::startup::SecretKey;
+use pgwire::messages::startup::Startup;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+use crate::fleet::key::Key;
+use crate::traffic::cancel_registry::CancelKey;
+use crate::traffic::context::TrafficContext;
+use crate::wire::frontend_codec::FrontendCodec;
+use crate::wire::sql_error::SqlError;
+use crate::wire::sql_state;
+
+/// A byte stream from a caller, encrypted or not.
+pub trait CallerIo: AsyncRead + AsyncWrite + Unpin + Send {}
+
+impl<Stream> CallerIo for Stream where Stream: AsyncRead + AsyncWrite + Unpin + Send {}
+
+/// Messages to and from a caller.
+pub type CallerWire = Framed<Box<dyn CallerIo>, FrontendCodec>;
+
+/// A caller that was admitted.
+pub struct AdmittedCaller {
+    /// Its connection.
+    pub wire: CallerWire,
+    /// Its workspace.
+    pub workspace: Arc<str>,
+    /// Id of the key that it gave.
+    pub key_id: Arc<str>,
+    /// The group that it asked for.
+    pub group: Arc<str>,
+    /// Settings that it asked for.
+    pub options: BTreeMap<String, String>,
+}
+
+/// Admits a caller; `None` when the connection is over.
+pub async fn admit(context: &TrafficContext, stream: TcpStream) -> Option<AdmittedCaller> {
+    let (mut wire, startup) = read_startup(context, stream).await?;
+    wire.send(Reply::Authentication(Authentication::CleartextPassword)).await.ok()?;
+    let Request::PasswordMessageFamily(password) = wire.next().await?.ok()? else {
+        return None;
+    };
+    let password = password.into_password().ok()?.password;
+    match check(context, &startup, &password) {
+        Ok((workspace, key_id, group)) => Some(AdmittedCaller {
+            wire,
+            workspace,
+            key_id,
+            group,
+            options: requested_settings(&startup.parameters),
+        }),
+        Err(error) => {
+            wire.send(error.into_message()).await.ok()?;
+            None
+        }
+    }
+}
+
+async fn read_startup(
+    context: &TrafficContext,
+    stream: TcpStream,
+) -> Option<(CallerWire, Startup)> {
+    let codec = FrontendCodec::new(context.max_message_bytes);
+    let mut wire: CallerWire = Framed::new(Box::new(stream) as Box<dyn CallerIo>, codec);
+    loop {
+        match wire.next().await?.ok()? {
+            Request::SslNegotiation(SslNegotiationMetaMessage::PostgresSsl(_)) => {
+                wire = answer_ssl(context, wire).await?;
+            }
+            Request::SslNegotiation(SslNegotiationMetaMessage::PostgresGss(_)) => {
+                wire.send(Reply::GssEncResponse(GssEncResponse::Refuse)).await.ok()?;
+            }
+            Request::SslNegotiation(SslNegotiationMetaMessage::None) => {
+                wire.codec_mut().expect_startup();
+            }
+            Request::CancelRequest(request) => {
+                cancel(context, request.pid, &request.secret_key).await;
+                return None;
+            }
+            Request::Startup(startup) => {
+                wire.codec_mut().expect_messages();
+                return Some((wire, startup));
+            }
+            _ => return None,
+        }
+    }
+}
+
+async fn answer_ssl(context: &TrafficContext, mut wire: CallerWire) -> Option<CallerWire> {
+    let Some(acceptor) = &context.tls else {
+        wire.send(Reply::SslResponse(SslResponse::Refuse)).await.ok()?;
+        return Some(wire);
+    };
+    wire.send(Reply::SslResponse(SslResponse::Accept)).await.ok()?;
+    let parts = wire.into_parts();
+    // Bytes sent before the handshake would be taken for encrypted ones.
+    if !parts.read_buf.is_empty() {
+        return None;
+    }
+    let encrypted = acceptor.accept(parts.io).await.ok()?;
+    let codec = FrontendCodec::new(context.max_message_bytes);
+    let mut wire: CallerWire = Framed::new(Box::new(encrypted) as Box<dyn CallerIo>, codec);
+    wire.codec_mut().expect_startup();
+    Some(wire)
+}
+
+async fn cancel(context: &TrafficContext, process_id: i32, secret: &SecretKey) {
+    let SecretKey::I32(secret) = *secret else {
+        return;
+    };
+    let key = CancelKey { process_id, secret };
+    if !context.cancels.cancel(key) {
+        context.cancel_forwarder.forward(key).await;
+    }
+}
+
+type Admission = (Arc<str>, Arc<str>, Arc<str>);
+
+fn check(
+    context: &TrafficContext,
+    startup: &Startup,
+    password: &str,
+) -> Result<Admission, SqlError> {
+    let parameter = |name: &str| startup.parameters.get(name).cloned().unwrap_or_default();
+    let user = parameter("user");
+    if !context.standing.is_standing() {
+        let message = "not run: the daemon is not ready; connect to another";
+        return Err(SqlError::fatal(sql_state::CANNOT_CONNECT, message));
+    }
+    if context.snapshot.borrow().closes_idle {
+        let message = "not run: the daemon is leaving service; connect to another";
+        return Err(SqlError::fatal(sql_state::STOPPING, message));
+    }
+    if context.cancels.len() >= context.max_connections {
+        let message = "not run: the daemon has as many connections as it may";
+        return Err(SqlError::fatal(sql_state::NO_CAPACITY, message));
+    }
+    let fleet = context.snapshot.borrow().fleet.clone();
+    let key = fleet.keys.get(Key::id_of(password));
+    let valid = key.filter(|key| key.matches(password) && !key.is_withdrawn);
+    let Some(key) = valid.filter(|key| key.workspace == user) else {
+        log::warn!(event = "caller_refused", workspace = user, reason = "invalid key"; "");
+        let message = format!("the key is not valid for workspace \"{user}\"");
+        return Err(SqlError::fatal(sql_state::INVALID_KEY, message));
+    };
+    let database = startup.parameters.get("database").cloned().unwrap_or_else(|| user.clone());
+    let groups = fleet.workspace(&user).map(|workspace| workspace.groups.as_slice());
+    if !groups.unwrap_or_default().contains(&database) {
+        let message = format!("group \"{database}\" does not exist for workspace \"{user}\"");
+        return Err(SqlError::fatal(sql_state::UNKNOWN_GROUP, message));
+    }
+    Ok((user.into(), key.key_id.as_str().into(), database.into()))
+}
+
+/// Collects settings from the startup message, and those within its `options`.
+fn requested_settings(parameters: &BTreeMap<String, String>) -> BTreeMap<String, String> {
+    let mut settings = BTreeMap::new();
+    for (name, value) in parameters {
+        match name.as_str() {
+            "user" | "database" | "replication" => {}
+            "options" => settings.extend(parse_options(value)),
+            name if name.starts_with("_pq_.") => {}
+            name => drop(settings.insert(name.to_lowercase(), value.clone())),
+        }
+    }
+    settings
+}
+
+/// Reads `-c name=value` and `--name=value`.
+fn parse_options(text: &str) -> BTreeMap<String, String> {
+    let assignments = text.split_whitespace().filter(|word| *word != "-c").map(|word| {
+        let word = word.strip_prefix("-c").unwrap_or(word);
+        word.strip_prefix("--").unwrap_or(word)
+    });
+    assignments
+        .filter_map(|word| word.split_once('='))
+        .map(|(name, value)| (name.to_lowercase(), value.to_owned()))
+        .collect()
+}
--- /dev/null
+++ b/src/group/group_home.rs
@@ -0,0 +1,296 @@
+//! A group whose connections this daemon holds.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+
+use super::lane::Freshness;
+use super::lane::GroupAccess;
+use super::lane::LaneGrant;
+use super::lane::LaneRequest;
+use super::log_position::LogPosition;
+use super::member_connection::MemberAddress;
+use super::member_connection::MemberConnection;
+use super::member_control::MemberControl;
+use super::member_lane::MemberLane;
+use super::prober::Prober;
+use super::quorum::Quorum;
+use super::slot_pool::PoolUse;
+use super::slot_pool::SlotPool;
+use super::sql_member_control::SqlMemberControl;
+use crate::name::Name;
+use crate::wire::sql_error::SqlError;
+use crate::wire::sql_state;
+
+/// How long a member is left alone after a connection to it failed.
+const AVOID_TIME: Duration = Duration::from_millis(200);
+
+/// Longest pause before the view is looked at again while no member fits.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A member of the group and how to reach it.
+#[derive(Clone)]
+pub struct HomeMember {
+    /// Name of the member.
+    pub name: Name,
+    /// Where and as whom to connect.
+    pub target: MemberAddress,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+}
+
+/// What may change of a group while it is served.
+#[derive(Clone)]
+pub struct HomeOptions {
+    /// The members.
+    pub members: Vec<HomeMember>,
+    /// Connections that this daemon may use for requests.
+    pub slots: usize,
+    /// Longest wait for a majority to hold a write.
+    pub acknowledge_timeout: Duration,
+}
+
+/// A group whose connections this daemon holds.
+pub struct GroupHome {
+    name: Name,
+    prober: Arc<Prober>,
+    pool: Arc<SlotPool>,
+    options: Mutex<Arc<HomeOptions>>,
+    avoided_until: Mutex<Vec<Option<Instant>>>,
+    in_flight: Mutex<Vec<usize>>,
+}
+
+/// What a request runs on.
+struct Target {
+    member: usize,
+    is_replica: bool,
+}
+
+impl GroupHome {
+    /// Starts to watch the group.
+    pub fn start(name: Name, options: HomeOptions) -> Arc<Self> {
+        let control = |member: &HomeMember| {
+            Arc::new(SqlMemberControl::new(member.target.clone())) as Arc<dyn MemberControl>
+        };
+        let controls: Vec<_> = options.members.iter().map(control).collect();
+        let count = controls.len();
+        let home = Arc::new(Self {
+            name,
+            prober: Prober::start(controls),
+            pool: SlotPool::new(),
+            options: Mutex::new(Arc::new(options)),
+            avoided_until: Mutex::new(vec![None; count]),
+            in_flight: Mutex::new(vec![0; count]),
+        });
+        home.pool.set_limit(home.options().slots);
+        home
+    }
+
+    /// Takes changed options; the members' names and addresses must be the same.
+    pub fn set_options(&self, options: HomeOptions) {
+        self.pool.set_limit(options.slots);
+        for (index, member) in options.members.iter().enumerate() {
+            if member.is_leaving {
+                self.pool.close_idle(index);
+            }
+        }
+        *lock(&self.options) = Arc::new(options);
+    }
+
+    /// Returns the present options.
+    pub fn options(&self) -> Arc<HomeOptions> {
+        lock(&self.options).clone()
+    }
+
+    /// Stops watching and waits for the tasks.
+    pub async fn stop(&self) {
+        self.pool.set_limit(0);
+        self.prober.stop().await;
+    }
+
+    /// Returns the group's watcher.
+    pub fn prober(&self) -> &Arc<Prober> {
+        &self.prober
+    }
+
+    /// Returns what the connections are doing.
+    pub fn usage(&self) -> PoolUse {
+        self.pool.usage()
+    }
+
+    /// Chooses the member for a request, or none while no member fits.
+    fn choose(&self, request: &LaneRequest, floor: LogPosition, skipped: &[bool]) -> Option<Target> {
+        let view = self.prober.view();
+        let options = self.options();
+        if request.may_use_replica {
+            let replica = self.choose_replica(&view, &options, floor, skipped);
+            if replica.is_some() {
+                return replica;
+            }
+        }
+        let primary = view.primary()?;
+        (!self.is_avoided(primary)).then_some(Target {
+            member: primary,
+            is_replica: false,
+        })
+    }
+
+    /// Chooses the replica with the least work among those that show the floor.
+    fn choose_replica(
+        &self,
+        view: &Quorum,
+        options: &HomeOptions,
+        floor: LogPosition,
+        skipped: &[bool],
+    ) -> Option<Target> {
+        let in_flight = lock(&self.in_flight).clone();
+        let most_for_one = options.slots.div_ceil(2).max(1);
+        let fits = |member: &usize| {
+            let status = view.status(*member).unwrap_or_default();
+            view.is_reachable(*member)
+                && !status.is_primary
+                && status.applied >= floor
+                && !options.members[*member].is_leaving
+                && !skipped[*member]
+                && !self.is_avoided(*member)
+                && in_flight[*member] < most_for_one
+        };
+        let members = (0..view.len()).filter(fits);
+        let member = members.min_by_key(|member| in_flight[*member])?;
+        Some(Target {
+            member,
+            is_replica: true,
+        })
+    }
+
+    fn is_avoided(&self, member: usize) -> bool {
+        lock(&self.avoided_until)[member].is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Leaves a member alone for a while after a connection to it failed.
+    pub(super) fn avoid(&self, member: usize) {
+        lock(&self.avoided_until)[member] = Some(Instant::now() + AVOID_TIME);
+        self.pool.close_idle(member);
+        self.prober.refresh();
+    }
+
+    async fn floor_for(&self, request: &LaneRequest, deadline: Instant) -> Option<LogPosition> {
+        let timeout = deadline.saturating_duration_since(Instant::now());
+        let fresh = match request.freshness {
+            Freshness::Floor => return Some(request.floor),
+            Freshness::Latest => self.prober.floor(timeout).await,
+            Freshness::Age(age_ms) => self.prober.floor_of_age(age_ms, timeout).await,
+        };
+        fresh.map(|fresh| fresh.max(request.floor))
+    }
+
+    async fn connect(&self, member: usize) -> Option<MemberConnection> {
+        if let Some(connection) = self.pool.take_idle(member) {
+            return Some(connection);
+        }
+        self.pool.make_room();
+        let target = self.options().members[member].target.clone();
+        MemberConnection::open(&target).await.ok()
+    }
+
+    async fn wait_for_change(&self, deadline: Instant) {
+        let mut changes = self.prober.changes();
+        let left = deadline.saturating_duration_since(Instant::now());
+        let _ = tokio::time::timeout(left.min(RECHECK_INTERVAL), changes.changed()).await;
+    }
+
+    fn no_capacity(&self) -> SqlError {
+        let message = format!(
+            "not run: no connection to group {} came free in time",
+            self.name
+        );
+        SqlError::new(sql_state::NO_CAPACITY, message).with_hint("Try again in 1 s.")
+    }
+
+    fn no_member(&self) -> SqlError {
+        let message = format!(
+            "not run: no member of group {} could take the request in time",
+            self.name
+        );
+        SqlError::new(sql_state::NOT_RUN, message).with_hint("Try again in 1 s.")
+    }
+
+    /// Keeps a connection whose state is known for the next request.
+    pub(super) fn keep_idle(&self, member: usize, connection: MemberConnection) {
+        self.pool.keep_idle(member, connection);
+    }
+
+    /// Counts a request that starts to run on a member.
+    pub(super) fn start_work(&self, member: usize) {
+        lock(&self.in_flight)[member] += 1;
+    }
+
+    /// Counts a request that has ended on a member.
+    pub(super) fn end_work(&self, member: usize) {
+        lock(&self.in_flight)[member] -= 1;
+    }
+}
+
+/// Access of one daemon to a group that it is a home of.
+pub struct HomeAccess(pub Arc<GroupHome>);
+
+#[async_trait]
+impl GroupAccess for HomeAccess {
+    async fn acquire(&self, request: LaneRequest) -> Result<LaneGrant, SqlError> {
+        let home = &self.0;
+        let workspace: Name = request.workspace.as_str().into();
+        let deadline = Instant::now() + Duration::from_millis(request.timeout_ms);
+        let left = || deadline.saturating_duration_since(Instant::now());
+        let Some(floor) = home.floor_for(&request, deadline).await else {
+            return Err(home.no_member());
+        };
+        let mut skipped = vec![false; home.options().members.len()];
+        loop {
+            if left().is_zero() {
+                return Err(home.no_member());
+            }
+            if home.choose(&request, floor, &skipped).is_none() {
+                home.wait_for_change(deadline).await;
+                continue;
+            }
+            let Some(slot) = home.pool.slot(&workspace, left()).await else {
+                return Err(home.no_capacity());
+            };
+            let Some(target) = home.choose(&request, floor, &skipped) else {
+                continue;
+            };
+            let Some(mut connection) = home.connect(target.member).await else {
+                home.avoid(target.member);
+                drop(slot);
+                home.wait_for_change(deadline).await;
+                continue;
+            };
+            match connection.reaches(floor).await {
+                Ok(true) => {
+                    let lane = MemberLane::new(home.clone(), target.member, connection, slot);
+                    return Ok(LaneGrant {
+                        lane: Box::new(lane),
+                        floor,
+                        is_replica: target.is_replica,
+                    });
+                }
+                Ok(false) => {
+                    skipped[target.member] = target.is_replica;
+                    home.pool.keep_idle(target.member, connection);
+                    drop(slot);
+                    if !target.is_replica {
+                        home.wait_for_change(deadline).await;
+                    }
+                }
+                Err(_) => home.avoid(target.member),
+            }
+        }
+    }
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> std::sync::MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/src/group/member_lane.rs
@@ -0,0 +1,138 @@
+//! A lane over a connection of this daemon.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use pgwire::messages::PgWireBackendMessage as Reply;
+use pgwire::messages::PgWireFrontendMessage as Request;
+use pgwire::messages::response::TransactionStatus;
+use pgwire::messages::startup::ParameterStatus;
+
+use super::group_home::GroupHome;
+use super::lane::COMMIT_PARAMETER;
+use super::lane::Lane;
+use super::lane::LaneError;
+use super::log_position::LogPosition;
+use super::member_connection::MemberConnection;
+use super::member_control::MemberError;
+use super::slot_pool::Slot;
+
+/// A lane over a connection of this daemon.
+pub struct MemberLane {
+    home: Arc<GroupHome>,
+    member: usize,
+    connection: Option<MemberConnection>,
+    /// A commit whose place was received and which no majority is known to hold yet.
+    unacknowledged: Option<LogPosition>,
+    is_cancelled: bool,
+    is_idle: bool,
+    _slot: Slot,
+}
+
+impl MemberLane {
+    /// Creates a lane over a connection that is not in a transaction.
+    pub fn new(
+        home: Arc<GroupHome>,
+        member: usize,
+        connection: MemberConnection,
+        slot: Slot,
+    ) -> Self {
+        home.start_work(member);
+        Self {
+            home,
+            member,
+            connection: Some(connection),
+            unacknowledged: None,
+            is_cancelled: false,
+            is_idle: true,
+            _slot: slot,
+        }
+    }
+
+    fn connection(&mut self) -> Result<&mut MemberConnection, LaneError> {
+        let lost = || LaneError::Lost("the connection to the member was lost".to_owned());
+        self.connection.as_mut().ok_or_else(lost)
+    }
+
+    fn lose(&mut self, error: MemberError) -> LaneError {
+        self.connection = None;
+        self.home.avoid(self.member);
+        match error {
+            MemberError::Unreachable(reason) | MemberError::Refused(reason) => {
+                LaneError::Lost(reason)
+            }
+        }
+    }
+
+    async fn acknowledge(&mut self, commit: LogPosition) -> Result<Reply, LaneError> {
+        let timeout = self.home.options().acknowledge_timeout;
+        let is_held = self.home.prober().acknowledge(commit, timeout).await;
+        self.unacknowledged = None;
+        if !is_held {
+            self.connection = None;
+            return Err(LaneError::NotAcknowledged);
+        }
+        let connection = self.connection()?;
+        connection.reached = connection.reached.max(commit);
+        let status = ParameterStatus::new(COMMIT_PARAMETER.to_owned(), commit.to_string());
+        Ok(Reply::ParameterStatus(status))
+    }
+}
+
+impl Drop for MemberLane {
+    fn drop(&mut self) {
+        self.home.end_work(self.member);
+    }
+}
+
+#[async_trait]
+impl Lane for MemberLane {
+    async fn send(&mut self, messages: Vec<Request>) -> Result<(), LaneError> {
+        self.is_idle = false;
+        match self.connection()?.send(messages).await {
+            Ok(()) => Ok(()),
+            Err(error) => Err(self.lose(error)),
+        }
+    }
+
+    async fn receive(&mut self) -> Result<Reply, LaneError> {
+        if let Some(commit) = self.unacknowledged {
+            return self.acknowledge(commit).await;
+        }
+        let reply = match self.connection()?.receive().await {
+            Ok(reply) => reply,
+            Err(error) => return Err(self.lose(error)),
+        };
+        match &reply {
+            Reply::ParameterStatus(status) if status.name == COMMIT_PARAMETER => {
+                let Ok(commit) = status.value.parse() else {
+                    return Err(LaneError::Lost("commit place is not readable".to_owned()));
+                };
+                self.unacknowledged = Some(commit);
+                self.acknowledge(commit).await
+            }
+            Reply::ReadyForQuery(ready) => {
+                self.is_idle = ready.status == TransactionStatus::Idle;
+                Ok(reply)
+            }
+            _ => Ok(reply),
+        }
+    }
+
+    async fn cancel(&mut self) {
+        self.is_cancelled = true;
+        if let Ok(connection) = self.connection() {
+            connection.cancel().await;
+        }
+    }
+
+    async fn release(mut self: Box<Self>, is_clean: bool) {
+        let is_known = is_clean && self.is_idle && !self.is_cancelled;
+        if let Some(connection) = self.connection.take()
+            && is_known
+            && self.unacknowledged.is_none()
+        {
+            self.home.keep_idle(self.member, connection);
+        }
+    }
+}
--- /dev/null
+++ b/src/traffic.rs
@@ -0,0 +1,6 @@
+//! What the threads that serve callers share.
+
+pub mod cancel_registry;
+pub mod context;
+pub mod snapshot;
+pub mod standing_clock;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,3 +3,4 @@
 pub mod frontend_codec;
 pub mod sql_error;
 pub mod sql_state;
+pub mod text_row;
