--- a/src/caller/request_runner.rs
+++ b/src/caller/request_runner.rs
@@ -668,11 +668,10 @@
 
     /// Ends the skipping of messages after an error in a batch that had no Sync yet.
     pub async fn resync(&mut self) {
-        if !self.skips_to_sync || self.lane.is_none() {
-            return;
-        }
         if self.block.is_none() {
             self.drop_lane();
+        }
+        if !self.skips_to_sync || self.lane.is_none() {
             return;
         }
         self.skips_to_sync = false;
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,6 @@
+//! The operators' command line.
+
+pub mod arguments;
+pub mod commands;
+pub mod connection;
+pub mod demo;
--- /dev/null
+++ b/src/client/commands.rs
@@ -0,0 +1,291 @@
+//! Carries out the commands of the operators' command line.
+
+use std::process::ExitCode;
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::HttpClient;
+
+use super::arguments::Arguments;
+use super::arguments::BackendCommand;
+use super::arguments::Check;
+use super::arguments::Command;
+use super::arguments::ConfigApply;
+use super::arguments::ConfigCommand;
+use super::arguments::ConfigHistory;
+use super::arguments::KeyCommand;
+use super::arguments::Status;
+use super::arguments::ZoneCommand;
+use super::connection::connect;
+use super::connection::find_secret;
+use super::demo;
+use crate::control::operate::ChangeReceipt;
+use crate::control::operate::ChangeRequest;
+use crate::fleet::change::Operation;
+use crate::fleet::key::Key;
+use crate::load;
+use crate::operator::api::OperatorApiClient;
+use crate::operator::status::Health;
+use crate::settings::finding::Finding;
+use crate::settings::load::load_daemon_settings;
+use crate::settings::load::load_fleet_document;
+
+/// Exit code for a degraded fleet, and for a command that was not done.
+const DEGRADED: u8 = 1;
+/// Exit code for files or arguments that cannot be used.
+const INVALID: u8 = 2;
+/// Exit code for a failing fleet.
+const FAILING: u8 = 3;
+
+/// Carries out a command. Returns the exit code.
+pub async fn run(arguments: Arguments) -> ExitCode {
+    match dispatch(arguments).await {
+        Ok(code) => ExitCode::from(code),
+        Err(text) => {
+            eprintln!("{text}");
+            ExitCode::from(DEGRADED)
+        }
+    }
+}
+
+async fn dispatch(arguments: Arguments) -> Result<u8, String> {
+    match arguments.command {
+        Command::Check(check) => Ok(check_file(&check)),
+        Command::Demo(demo) => demo::run(demo.port).await.map(|()| 0),
+        Command::Load(load) => load::command::run(load).await.map(|()| 0),
+        command => {
+            let address = match arguments.daemon {
+                Some(address) => address,
+                None => std::env::var("SNIPEHEAD_DAEMON").map_err(|_| {
+                    "give --daemon ADDRESS, or SNIPEHEAD_DAEMON in the environment".to_owned()
+                })?,
+            };
+            let secret = find_secret(arguments.secret_file.as_deref())?;
+            let client = connect(&address, &secret)?;
+            let who = arguments.who.or_else(|| std::env::var("USER").ok());
+            let operator = Operator {
+                client,
+                who: who.unwrap_or_else(|| "unknown".to_owned()),
+            };
+            operator.run(command).await
+        }
+    }
+}
+
+fn check_file(check: &Check) -> u8 {
+    let findings = match std::fs::read_to_string(&check.file) {
+        Ok(text) => check_text(&text),
+        Err(error) => vec![Finding::new("/", "file", error.to_string())],
+    };
+    for finding in &findings {
+        eprintln!("{}: {finding}", check.file.display());
+    }
+    if findings.is_empty() {
+        println!("{}: valid", check.file.display());
+        return 0;
+    }
+    INVALID
+}
+
+/// Checks a text as a fleet's document if it has entry hosts, and as a daemon's settings if not.
+pub fn check_text(text: &str) -> Vec<Finding> {
+    let value: Option<serde_json::Value> = serde_json::from_str(text).ok();
+    let is_document = value.is_some_and(|value| value.get("entry_hosts").is_some());
+    match is_document {
+        true => load_fleet_document(text).err().unwrap_or_default(),
+        false => load_daemon_settings(text).err().unwrap_or_default(),
+    }
+}
+
+struct Operator {
+    client: HttpClient,
+    who: String,
+}
+
+impl Operator {
+    async fn run(&self, command: Command) -> Result<u8, String> {
+        match command {
+            Command::Status(status) => return self.status(&status).await,
+            Command::Key(group) => self.key(group.command).await?,
+            Command::Zone(group) => self.zone(group.command).await?,
+            Command::Backend(group) => self.backend(group.command).await?,
+            Command::Config(group) => match group.command {
+                ConfigCommand::Get(_) => self.config_get().await?,
+                ConfigCommand::Apply(apply) => return self.config_apply(&apply).await,
+                ConfigCommand::History(history) => self.history(&history).await?,
+            },
+            Command::Failover(failover) => {
+                let moved = self.client.move_primary(failover.group.clone(), failover.to).await;
+                println!("primary of {} is {}", failover.group, moved.map_err(explain)?);
+            }
+            Command::Drain(_) => {
+                self.client.drain().await.map_err(explain)?;
+                println!("the daemon is stopping");
+            }
+            Command::Check(_) | Command::Demo(_) | Command::Load(_) => {}
+        }
+        Ok(0)
+    }
+
+    async fn status(&self, arguments: &Status) -> Result<u8, String> {
+        let status = self.client.status().await.map_err(explain)?;
+        match arguments.json {
+            true => println!("{}", to_json(&status)?),
+            false => print!("{status}"),
+        }
+        Ok(match status.health {
+            Health::Healthy => 0,
+            Health::Degraded => DEGRADED,
+            Health::Failing => FAILING,
+        })
+    }
+
+    async fn key(&self, command: KeyCommand) -> Result<(), String> {
+        match command {
+            KeyCommand::Issue(issue) => {
+                let (key, text) = Key::issue(&issue.workspace);
+                let receipt = self.change(Operation::IssueKey { key }, None, issue.why).await?;
+                print_receipt(&receipt);
+                println!("key: {text}");
+            }
+            KeyCommand::Withdraw(withdraw) => {
+                let operation = Operation::WithdrawKey {
+                    key_id: withdraw.key_id,
+                };
+                print_receipt(&self.change(operation, None, withdraw.why).await?);
+            }
+            KeyCommand::List(_) => {
+                for key in self.client.keys().await.map_err(explain)? {
+                    let state = if key.is_withdrawn { "withdrawn" } else { "valid" };
+                    println!("{} {:<24} {state}", key.key_id, key.workspace);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn zone(&self, command: ZoneCommand) -> Result<(), String> {
+        let (operation, why) = match command {
+            ZoneCommand::Out(out) => {
+                let operation = Operation::DataCentreOut {
+                    data_centre: out.data_centre,
+                    is_forced: out.force,
+                };
+                (operation, out.why)
+            }
+            ZoneCommand::In(back) => {
+                let operation = Operation::DataCentreIn {
+                    data_centre: back.data_centre,
+                };
+                (operation, back.why)
+            }
+        };
+        print_receipt(&self.change(operation, None, why).await?);
+        Ok(())
+    }
+
+    async fn backend(&self, command: BackendCommand) -> Result<(), String> {
+        let (operation, why) = match command {
+            BackendCommand::Leave(leave) => {
+                let operation = Operation::MemberLeaves {
+                    group: leave.group,
+                    member: leave.member,
+                };
+                (operation, leave.why)
+            }
+            BackendCommand::Return(back) => {
+                let operation = Operation::MemberReturns {
+                    group: back.group,
+                    member: back.member,
+                };
+                (operation, back.why)
+            }
+        };
+        print_receipt(&self.change(operation, None, why).await?);
+        Ok(())
+    }
+
+    async fn config_get(&self) -> Result<(), String> {
+        let view = self.client.config().await.map_err(explain)?;
+        println!("{}", to_json(&view)?);
+        Ok(())
+    }
+
+    async fn config_apply(&self, apply: &ConfigApply) -> Result<u8, String> {
+        let text = std::fs::read_to_string(&apply.file)
+            .map_err(|error| format!("{}: {error}", apply.file.display()))?;
+        let document = match load_fleet_document(&text) {
+            Ok(document) => Box::new(document),
+            Err(findings) => {
+                for finding in findings {
+                    eprintln!("{}: {finding}", apply.file.display());
+                }
+                return Ok(INVALID);
+            }
+        };
+        let operation = Operation::ApplyDocument { document };
+        let receipt = self.change(operation, Some(apply.version), apply.why.clone()).await?;
+        print_receipt(&receipt);
+        Ok(0)
+    }
+
+    async fn history(&self, arguments: &ConfigHistory) -> Result<(), String> {
+        let changes = self.client.history(arguments.after).await.map_err(explain)?;
+        if arguments.json {
+            println!("{}", to_json(&changes)?);
+            return Ok(());
+        }
+        for change in changes {
+            println!(
+                "{:>6}  {:<20} {}  ({})",
+                change.version, change.who, change.operation, change.why
+            );
+        }
+        Ok(())
+    }
+
+    async fn change(
+        &self,
+        operation: Operation,
+        expected_version: Option<u64>,
+        why: String,
+    ) -> Result<ChangeReceipt, String> {
+        let request = ChangeRequest {
+            operation,
+            expected_version,
+            who: self.who.clone(),
+            why,
+        };
+        self.client.change(request).await.map_err(explain)
+    }
+}
+
+fn print_receipt(receipt: &ChangeReceipt) {
+    let count = receipt.in_force_on.len();
+    match receipt.is_accepted {
+        true => println!(
+            "accepted as version {}; in force on {count} of {} hosts, and on the others within seconds",
+            receipt.version, receipt.hosts
+        ),
+        false => println!(
+            "recorded as version {}, but not yet known to a majority: in force on {count} of {} hosts ({})",
+            receipt.version,
+            receipt.hosts,
+            receipt.in_force_on.join(", ")
+        ),
+    }
+}
+
+fn to_json<Value>(value: &Value) -> Result<String, String>
+where
+    Value: serde::Serialize,
+{
+    serde_json::to_string_pretty(value).map_err(|error| error.to_string())
+}
+
+fn explain(error: ClientError) -> String {
+    match error {
+        ClientError::Call(call) => call.message().to_owned(),
+        ClientError::Transport(_) => format!("the daemon gives no answer: {error}"),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,14 @@
+//! Control state: one thread decides, and publishes what the traffic threads need.
+
+pub mod allotment;
+pub mod core;
+pub mod daemon_life;
+pub mod driver;
+pub mod failover;
+pub mod failover_driver;
+pub mod home_manager;
+pub mod home_plan;
+pub mod majority_history;
+pub mod operate;
+pub mod share_ledger;
+pub mod standing;
--- /dev/null
+++ b/src/control/failover.rs
@@ -0,0 +1,259 @@
+//! When a group gets another primary, free of input and output. The steps are in
+//! `charts/failover.json`.
+
+use crate::chart::Machine;
+use crate::group::member_control::Grant;
+use crate::group::quorum::Quorum;
+use crate::settings::finding::Finding;
+
+/// The steps of a failover.
+const CHART: &str = include_str!("../../charts/failover.json");
+
+/// Time by which each further home of a group waits longer, in milliseconds.
+const RANK_DELAY_MS: u64 = 400;
+
+/// What a home knows when it decides.
+pub struct Situation<'a> {
+    /// Time, in milliseconds.
+    pub now_ms: u64,
+    /// What the members told.
+    pub view: &'a Quorum,
+    /// Silence of a primary after which another is promoted, in milliseconds.
+    pub failover_after_ms: u64,
+    /// Place of this daemon among the group's homes.
+    pub rank: u64,
+    /// Members that take no new work.
+    pub leaving: &'a [bool],
+    /// Whether every home reports that it does not reach the primary.
+    pub is_unreached_by_all: bool,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailoverAction {
+    /// Ask the primary to take no new writes.
+    StepDown {
+        /// The primary.
+        member: usize,
+        /// Its term.
+        term: u64,
+    },
+    /// Take the step down back.
+    Resume,
+    /// Ask all members to accept a term.
+    AskTerms {
+        /// The term.
+        term: u64,
+    },
+    /// Promote a member.
+    Promote {
+        /// The member.
+        member: usize,
+        /// Its term.
+        term: u64,
+    },
+    /// Log that there is a new primary.
+    Report,
+}
+
+/// What came of an action.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FailoverOutcome {
+    /// The primary takes no new writes, and its last write is held by a successor.
+    SteppedDown,
+    /// The primary goes on.
+    StepDownRefused,
+    /// Answers of the members to the question for a term.
+    Terms(Vec<Option<Grant>>),
+    /// The member is primary.
+    Promoted,
+    /// The member is not primary.
+    PromotionFailed,
+}
+
+/// The failover of one group, as one of its homes sees it.
+pub struct FailoverCore {
+    machine: Machine,
+    lost_since_ms: Option<u64>,
+    term: u64,
+    /// Member that an operator asked for.
+    wanted: Option<usize>,
+    is_move_asked: bool,
+    /// Time before which no further move is tried, in milliseconds.
+    quiet_until_ms: u64,
+}
+
+impl FailoverCore {
+    /// Starts to watch.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the chart.
+    pub fn start() -> Result<Self, Vec<Finding>> {
+        Ok(Self {
+            machine: Machine::start(CHART)?,
+            lost_since_ms: None,
+            term: 0,
+            wanted: None,
+            is_move_asked: false,
+            quiet_until_ms: 0,
+        })
+    }
+
+    /// Returns the state in the chart.
+    pub fn state(&self) -> &str {
+        self.machine.state()
+    }
+
+    /// Asks for a planned change, to a member or to the best one.
+    pub fn ask_move(&mut self, wanted: Option<usize>) {
+        self.wanted = wanted;
+        self.is_move_asked = true;
+    }
+
+    /// Looks at the situation and returns what to do.
+    pub fn step(&mut self, situation: &Situation<'_>) -> Vec<FailoverAction> {
+        let primary = situation.view.primary();
+        let is_lost = primary.is_none_or(|primary| is_isolated(situation, primary));
+        if !is_lost {
+            self.lost_since_ms = None;
+            self.machine.fire("primary_seen");
+        }
+        let event = match primary {
+            _ if is_lost => self.judge_loss(situation),
+            Some(primary) if self.wants_move(situation, primary) => Some("move_wanted"),
+            _ => None,
+        };
+        let names = event.map(|event| self.machine.fire(event)).unwrap_or_default();
+        self.actions(&names, situation.view, None)
+    }
+
+    /// Takes the outcome of an action and returns what to do.
+    pub fn outcome(
+        &mut self,
+        now_ms: u64,
+        view: &Quorum,
+        leaving: &[bool],
+        outcome: FailoverOutcome,
+    ) -> Vec<FailoverAction> {
+        let mut best = None;
+        let event = match outcome {
+            FailoverOutcome::SteppedDown => "stepped_down",
+            FailoverOutcome::StepDownRefused => "step_down_refused",
+            FailoverOutcome::Terms(grants) => {
+                best = self.choose(view, leaving, &grants);
+                match best {
+                    Some(_) => "terms_granted",
+                    None => "terms_refused",
+                }
+            }
+            FailoverOutcome::Promoted => "promoted",
+            FailoverOutcome::PromotionFailed => "promotion_failed",
+        };
+        if event != "stepped_down" && event != "terms_granted" {
+            self.lost_since_ms = None;
+            self.is_move_asked = false;
+            self.wanted = None;
+            self.quiet_until_ms = now_ms + QUIET_MS;
+        }
+        let names = self.machine.fire(event);
+        self.actions(&names, view, best)
+    }
+
+    fn judge_loss(&mut self, situation: &Situation<'_>) -> Option<&'static str> {
+        let since_ms = *self.lost_since_ms.get_or_insert(situation.now_ms);
+        self.machine.fire("primary_lost");
+        let waited_ms = situation.now_ms.saturating_sub(since_ms);
+        let delay_ms = situation.rank * RANK_DELAY_MS;
+        let is_due = waited_ms >= delay_ms && may_elect(situation);
+        is_due.then_some("silence_over")
+    }
+
+    fn wants_move(&self, situation: &Situation<'_>, primary: usize) -> bool {
+        let is_leaving = situation.leaving[primary];
+        let delay_ms = situation.rank * RANK_DELAY_MS * 4;
+        let is_quiet = situation.now_ms < self.quiet_until_ms + delay_ms;
+        let has_successor = (0..situation.view.len()).any(|member| {
+            member != primary && !situation.leaving[member] && situation.view.is_reachable(member)
+        });
+        let is_asked = self.is_move_asked && self.wanted != Some(primary);
+        has_successor && (is_asked || (is_leaving && !is_quiet))
+    }
+
+    /// Chooses the member to promote among those that accepted the term.
+    ///
+    /// It needs a majority, and only a member whose log is the most advanced may be chosen.
+    fn choose(&self, view: &Quorum, leaving: &[bool], grants: &[Option<Grant>]) -> Option<usize> {
+        let granted = |member: &usize| {
+            let grant = grants[*member].as_ref();
+            grant.is_some_and(|grant| grant.is_granted && grant.status.accepted_term == self.term)
+        };
+        let members: Vec<usize> = (0..grants.len()).filter(granted).collect();
+        if members.len() < view.majority() {
+            return None;
+        }
+        let held = |member: &usize| grants[*member].as_ref().map(|grant| grant.status.held);
+        let most = members.iter().map(held).max()?;
+        let advanced = members.into_iter().filter(|member| held(member) == most);
+        advanced.max_by_key(|member| (self.wanted == Some(*member), !leaving[*member]))
+    }
+
+    fn actions(
+        &mut self,
+        names: &[String],
+        view: &Quorum,
+        best: Option<usize>,
+    ) -> Vec<FailoverAction> {
+        let mut actions = Vec::new();
+        for name in names {
+            match name.as_str() {
+                "ask_terms" => {
+                    self.term = view.highest_term().max(self.term) + 1;
+                    actions.push(FailoverAction::AskTerms { term: self.term });
+                }
+                "promote" => actions.extend(best.map(|member| FailoverAction::Promote {
+                    member,
+                    term: self.term,
+                })),
+                "step_down" => {
+                    actions.extend(view.primary().map(|member| FailoverAction::StepDown {
+                        member,
+                        term: view.highest_term(),
+                    }));
+                }
+                "resume" => actions.push(FailoverAction::Resume),
+                _ => actions.push(FailoverAction::Report),
+            }
+        }
+        actions
+    }
+}
+
+/// Time after a change of primary in which no planned one is started, in milliseconds.
+const QUIET_MS: u64 = 1_000;
+
+/// Returns whether a majority of members has not heard a primary that still answers here.
+fn is_isolated(situation: &Situation<'_>, primary: usize) -> bool {
+    let view = situation.view;
+    let is_deaf = |member: &usize| {
+        let status = view.status(*member).unwrap_or_default();
+        *member != primary
+            && view.is_reachable(*member)
+            && status.primary_silent_ms > 2 * situation.failover_after_ms
+    };
+    (0..view.len()).filter(is_deaf).count() >= view.majority()
+}
+
+/// Returns whether a majority answers, and none of it has heard a primary lately. A primary that
+/// only this daemon does not reach is left alone.
+fn may_elect(situation: &Situation<'_>) -> bool {
+    let view = situation.view;
+    let has_heard = |member: &usize| {
+        let status = view.status(*member).unwrap_or_default();
+        view.is_reachable(*member)
+            && !status.is_primary
+            && status.primary_silent_ms < situation.failover_after_ms
+    };
+    let is_silent = !(0..view.len()).any(|member| has_heard(&member));
+    view.reachable_count() >= view.majority() && (is_silent || situation.is_unreached_by_all)
+}
--- /dev/null
+++ b/src/control/failover_driver.rs
@@ -0,0 +1,225 @@
+//! Carries out the failover of one group.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio_util::sync::CancellationToken;
+
+use super::core::ControlCore;
+use super::failover::FailoverAction;
+use super::failover::FailoverCore;
+use super::failover::FailoverOutcome;
+use super::failover::Situation;
+use crate::clock;
+use crate::fleet::homes::homes_of;
+use crate::group::group_home::GroupHome;
+use crate::group::member_control::Grant;
+
+/// Time between two looks at a group.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time for which further answers are awaited once a majority has accepted a term.
+const GRACE: Duration = Duration::from_millis(30);
+
+/// How long a successor may take to hold the last write of a primary that stepped down.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The failover of one group that this daemon is a home of.
+pub struct FailoverDriver {
+    group: String,
+    host: String,
+    incarnation: u64,
+    home: Arc<GroupHome>,
+    control: Rc<RefCell<ControlCore>>,
+    failover: RefCell<FailoverCore>,
+}
+
+impl FailoverDriver {
+    /// Creates the driver; `None` when the chart is broken.
+    pub fn new(
+        group: &str,
+        host: &str,
+        incarnation: u64,
+        home: Arc<GroupHome>,
+        control: Rc<RefCell<ControlCore>>,
+    ) -> Option<Rc<Self>> {
+        let failover = FailoverCore::start().ok()?;
+        Some(Rc::new(Self {
+            group: group.to_owned(),
+            host: host.to_owned(),
+            incarnation,
+            home,
+            control,
+            failover: RefCell::new(failover),
+        }))
+    }
+
+    /// Watches the group until `stop`.
+    pub async fn run(self: Rc<Self>, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            let mut actions = self.look();
+            while !actions.is_empty() {
+                let mut next = Vec::new();
+                for action in actions {
+                    next.extend(self.carry_out(action).await);
+                }
+                actions = next;
+            }
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(LOOK_INTERVAL) => {}
+            }
+        }
+    }
+
+    /// Returns the home that is watched.
+    pub fn home(&self) -> &Arc<GroupHome> {
+        &self.home
+    }
+
+    /// Returns the state in the chart.
+    pub fn state(&self) -> String {
+        self.failover.borrow().state().to_owned()
+    }
+
+    /// Asks for a planned change of primary.
+    ///
+    /// # Errors
+    ///
+    /// Returns a sentence when the member is not known.
+    pub fn ask_move(&self, member: &str) -> Result<(), String> {
+        if member.is_empty() {
+            self.failover.borrow_mut().ask_move(None);
+            return Ok(());
+        }
+        let options = self.home.options();
+        let Some(index) = options.members.iter().position(|known| &*known.name == member) else {
+            return Err(format!("group {} has no member \"{member}\"", self.group));
+        };
+        self.failover.borrow_mut().ask_move(Some(index));
+        Ok(())
+    }
+
+    fn leaving(&self) -> Vec<bool> {
+        self.home.options().members.iter().map(|member| member.is_leaving).collect()
+    }
+
+    fn look(&self) -> Vec<FailoverAction> {
+        let view = self.home.prober().view();
+        let leaving = self.leaving();
+        let control = self.control.borrow();
+        let fleet = control.fleet();
+        let homes = homes_of(&fleet, &self.group);
+        let rank = homes.iter().position(|home| *home == self.host);
+        let situation = Situation {
+            now_ms: clock::now_ms(),
+            view: &view,
+            failover_after_ms: fleet.limits_of_group(&self.group).failover_after_ms,
+            rank: rank.unwrap_or(homes.len()) as u64,
+            leaving: &leaving,
+            is_unreached_by_all: control.is_unreached_by_all(&self.group, &homes),
+        };
+        self.failover.borrow_mut().step(&situation)
+    }
+
+    async fn carry_out(&self, action: FailoverAction) -> Vec<FailoverAction> {
+        let outcome = match action {
+            FailoverAction::StepDown { member, term } => self.step_down(member, term).await,
+            FailoverAction::AskTerms { term } => self.ask_terms(term).await,
+            FailoverAction::Promote { member, term } => self.promote(member, term).await,
+            FailoverAction::Resume => {
+                self.resume().await;
+                return Vec::new();
+            }
+            FailoverAction::Report => return Vec::new(),
+        };
+        let view = self.home.prober().view();
+        let leaving = self.leaving();
+        self.failover.borrow_mut().outcome(clock::now_ms(), &view, &leaving, outcome)
+    }
+
+    fn promoter(&self) -> String {
+        format!("{}-{}", self.host, self.incarnation)
+    }
+
+    async fn step_down(&self, member: usize, term: u64) -> FailoverOutcome {
+        log::info!(event = "step_down_asked", group = self.group, member = member, term = term; "");
+        let granted = self.home.prober().member(member).step_down(term).await;
+        let Ok(Grant {
+            is_granted: true,
+            status,
+        }) = granted
+        else {
+            return FailoverOutcome::StepDownRefused;
+        };
+        let leaving = self.leaving();
+        let deadline = tokio::time::Instant::now() + CATCH_UP_TIMEOUT;
+        while tokio::time::Instant::now() < deadline {
+            let view = self.home.prober().view();
+            let is_caught_up = (0..view.len()).any(|other| {
+                let held = view.status(other).unwrap_or_default().held;
+                other != member && !leaving[other] && held >= status.held
+            });
+            if is_caught_up {
+                return FailoverOutcome::SteppedDown;
+            }
+            self.home.prober().refresh();
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        FailoverOutcome::StepDownRefused
+    }
+
+    async fn resume(&self) {
+        let view = self.home.prober().view();
+        if let Some(primary) = view.primary() {
+            let _ = self.home.prober().member(primary).resume(view.highest_term()).await;
+        }
+    }
+
+    async fn ask_terms(&self, term: u64) -> FailoverOutcome {
+        log::info!(event = "term_asked", group = self.group, term = term; "");
+        let prober = self.home.prober();
+        let count = prober.view().len();
+        let promoter = self.promoter();
+        let mut asking: FuturesUnordered<_> = (0..count)
+            .map(|index| {
+                let member = prober.member(index);
+                let promoter = promoter.clone();
+                async move { (index, member.accept_term(term, &promoter).await.ok()) }
+            })
+            .collect();
+        let mut grants = vec![None; count];
+        let majority = prober.view().majority();
+        loop {
+            let granted = grants.iter().flatten().filter(|grant: &&Grant| grant.is_granted).count();
+            let next = match granted >= majority {
+                true => tokio::time::timeout(GRACE, asking.next()).await.ok().flatten(),
+                false => asking.next().await,
+            };
+            let Some((index, grant)) = next else {
+                return FailoverOutcome::Terms(grants);
+            };
+            grants[index] = grant;
+        }
+    }
+
+    async fn promote(&self, member: usize, term: u64) -> FailoverOutcome {
+        let name = self.home.options().members[member].name.clone();
+        let promoted = self.home.prober().member(member).promote(term, &self.promoter()).await;
+        self.home.prober().refresh();
+        match promoted {
+            Ok(grant) if grant.status.is_primary && grant.status.accepted_term == term => {
+                log::info!(event = "primary_promoted", group = self.group, member = &*name, term = term; "");
+                FailoverOutcome::Promoted
+            }
+            _ => {
+                log::warn!(event = "promotion_failed", group = self.group, member = &*name, term = term; "");
+                FailoverOutcome::PromotionFailed
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/control/home_manager.rs
@@ -0,0 +1,191 @@
+//! Starts and stops the groups that this daemon is a home of.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::fleet::homes::homes_of;
+use crate::fleet::state::Fleet;
+use crate::group::group_home::GroupHome;
+use crate::group::group_home::HomeAccess;
+use crate::group::group_home::HomeMember;
+use crate::group::group_home::HomeOptions;
+use crate::group::lane::SharedAccess;
+use crate::group::member_connection::MemberAddress;
+use crate::relay::relay_access::RelayAccess;
+use crate::settings::daemon_settings::DaemonSettings;
+use crate::traffic::context::TrafficContext;
+
+/// Longest time to connect to a member.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How often a home that is about to go checks whether its last requests have ended.
+const EMPTY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Groups that this daemon is a home of, running.
+pub struct HomeManager {
+    settings: Arc<DaemonSettings>,
+    traffic: Arc<TrafficContext>,
+    runtime: tokio::runtime::Handle,
+    homes: HashMap<String, Arc<GroupHome>>,
+    relays: HashMap<String, Arc<RelayAccess>>,
+}
+
+impl HomeManager {
+    /// Creates a manager whose groups run on the traffic threads.
+    pub fn new(
+        settings: Arc<DaemonSettings>,
+        traffic: Arc<TrafficContext>,
+        runtime: tokio::runtime::Handle,
+    ) -> Self {
+        Self {
+            settings,
+            traffic,
+            runtime,
+            homes: HashMap::new(),
+            relays: HashMap::new(),
+        }
+    }
+
+    /// Returns the running homes.
+    pub fn homes(&self) -> &HashMap<String, Arc<GroupHome>> {
+        &self.homes
+    }
+
+    /// Starts, changes and stops homes as the configuration says, and renews the ways to all
+    /// groups.
+    pub fn apply(&mut self, fleet: &Fleet, slots: &BTreeMap<String, u64>) {
+        self.stop_gone(fleet, slots);
+        for (name, count) in slots {
+            self.start_or_change(fleet, name, *count as usize);
+        }
+        self.renew_ways(fleet);
+    }
+
+    fn stop_gone(&mut self, fleet: &Fleet, slots: &BTreeMap<String, u64>) {
+        let is_gone = |name: &String, home: &Arc<GroupHome>| {
+            !slots.contains_key(name) || !has_same_members(&self.settings, fleet, name, home)
+        };
+        let gone: Vec<String> = self
+            .homes
+            .iter()
+            .filter(|(name, home)| is_gone(name, home))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            if let Some(home) = self.homes.remove(&name) {
+                self.runtime.spawn(stop_when_empty(home));
+            }
+        }
+    }
+
+    fn start_or_change(&mut self, fleet: &Fleet, name: &str, slots: usize) {
+        let Some(options) = home_options(&self.settings, fleet, name, slots) else {
+            return;
+        };
+        if let Some(home) = self.homes.get(name) {
+            home.set_options(options);
+            return;
+        }
+        let _entered = self.runtime.enter();
+        let home = GroupHome::start(name.into(), options);
+        self.homes.insert(name.to_owned(), home);
+    }
+
+    fn renew_ways(&mut self, fleet: &Fleet) {
+        let mut ways: HashMap<String, SharedAccess> = HashMap::new();
+        for group in fleet.groups() {
+            let way: SharedAccess = match self.homes.get(&group.name) {
+                Some(home) => Arc::new(HomeAccess(home.clone())),
+                None => self.relay_to(fleet, &group.name),
+            };
+            ways.insert(group.name.clone(), way);
+        }
+        self.traffic.access.replace(ways);
+    }
+
+    fn relay_to(&mut self, fleet: &Fleet, group: &str) -> SharedAccess {
+        let address = |host: &String| {
+            let address = &fleet.host(host)?.relay_address;
+            map_address(&self.settings, address)
+        };
+        let own = self.settings.name.as_str();
+        let mut homes = homes_of(fleet, group);
+        homes.retain(|home| home != own);
+        // Homes in the data centre of this daemon come first.
+        homes.sort_by_key(|home| fleet.data_centre_of_host(home) != self.settings.data_centre);
+        let addresses: Vec<SocketAddr> = homes.iter().filter_map(address).collect();
+        let relay = self.relays.entry(group.to_owned()).or_insert_with(|| {
+            Arc::new(RelayAccess::new(group, &self.settings.shared_secret))
+        });
+        relay.set_homes(addresses);
+        relay.clone()
+    }
+
+    /// Stops all homes and waits for them.
+    pub async fn stop(&mut self) {
+        for (_, home) in self.homes.drain() {
+            home.stop().await;
+        }
+    }
+}
+
+async fn stop_when_empty(home: Arc<GroupHome>) {
+    let mut options = (*home.options()).clone();
+    options.slots = 0;
+    home.set_options(options);
+    while home.usage().in_use > 0 {
+        tokio::time::sleep(EMPTY_CHECK_INTERVAL).await;
+    }
+    home.stop().await;
+}
+
+/// Returns the address to use for one of the fleet's document.
+pub fn map_address(settings: &DaemonSettings, address: &str) -> Option<SocketAddr> {
+    let mapped = settings.address_map.get(address).map(|mapped| mapped.as_str());
+    mapped.unwrap_or(address).parse().ok()
+}
+
+fn home_options(
+    settings: &DaemonSettings,
+    fleet: &Fleet,
+    name: &str,
+    slots: usize,
+) -> Option<HomeOptions> {
+    let group = fleet.group(name)?;
+    let member = |member: &crate::fleet::fleet_document::Member| {
+        Some(HomeMember {
+            name: member.name.as_str().into(),
+            target: MemberAddress {
+                address: map_address(settings, &member.address)?,
+                user: settings.member_user.clone(),
+                password: settings.member_password.clone(),
+                database: name.to_owned(),
+                connect_timeout: CONNECT_TIMEOUT,
+            },
+            is_leaving: fleet.is_member_leaving(name, member),
+        })
+    };
+    let limits = fleet.limits_of_group(name);
+    Some(HomeOptions {
+        members: group.members.iter().map(member).collect::<Option<Vec<_>>>()?,
+        slots,
+        acknowledge_timeout: Duration::from_millis(limits.acknowledge_timeout_ms),
+    })
+}
+
+fn has_same_members(
+    settings: &DaemonSettings,
+    fleet: &Fleet,
+    name: &str,
+    home: &GroupHome,
+) -> bool {
+    let Some(next) = home_options(settings, fleet, name, 1) else {
+        return false;
+    };
+    let present = home.options();
+    let identity = |member: &HomeMember| (member.name.clone(), member.target.address);
+    next.members.iter().map(identity).eq(present.members.iter().map(identity))
+}
--- /dev/null
+++ b/src/control/standing.rs
@@ -0,0 +1,52 @@
+//! The lease under which a daemon serves, free of input and output.
+//!
+//! A daemon that has read the table, or has heard a majority of the daemons, knows every change
+//! that was accepted before it asked. Its lease runs from the moment at which it asked. A change
+//! that a majority knows is therefore in force on every daemon that still serves one lease later.
+
+use std::collections::BTreeMap;
+
+/// Length of the lease, in milliseconds.
+pub const LEASE_MS: u64 = 3_000;
+
+/// The lease under which a daemon serves.
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    table_asked_at_ms: Option<u64>,
+    vouched_at_ms: BTreeMap<String, u64>,
+}
+
+impl Standing {
+    /// Notes that the table was read, up to its end, with a question sent at `asked_at_ms`.
+    pub fn note_table(&mut self, asked_at_ms: u64) {
+        self.table_asked_at_ms = self.table_asked_at_ms.max(Some(asked_at_ms));
+    }
+
+    /// Notes that a peer told all it knows, in answer to a question sent at `asked_at_ms`.
+    pub fn note_peer(&mut self, peer: &str, asked_at_ms: u64) {
+        let vouched = self.vouched_at_ms.entry(peer.to_owned()).or_default();
+        *vouched = (*vouched).max(asked_at_ms);
+    }
+
+    /// Returns the end of the lease, given the names of the other hosts.
+    pub fn until_ms(&self, now_ms: u64, others: &[String]) -> u64 {
+        let by_table = self.table_asked_at_ms.map_or(0, |asked_at_ms| asked_at_ms + LEASE_MS);
+        by_table.max(self.until_by_peers_ms(now_ms, others))
+    }
+
+    fn until_by_peers_ms(&self, now_ms: u64, others: &[String]) -> u64 {
+        let hosts = others.len() + 1;
+        let needed = hosts / 2 + 1 - 1;
+        if needed == 0 {
+            // The only host knows all that the hosts know, but not the table.
+            return match self.table_asked_at_ms {
+                Some(_) => now_ms + LEASE_MS,
+                None => 0,
+            };
+        }
+        let mut vouched: Vec<u64> =
+            others.iter().filter_map(|peer| self.vouched_at_ms.get(peer).copied()).collect();
+        vouched.sort_unstable_by(|left, right| right.cmp(left));
+        vouched.get(needed - 1).map_or(0, |asked_at_ms| asked_at_ms + LEASE_MS)
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,234 @@
+//! A daemon: its parts, put together.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::caller::listener::accept_callers;
+use crate::caller::token::TokenSigner;
+use crate::clock;
+use crate::control::driver;
+use crate::control::driver::ControlHandle;
+use crate::control::driver::ControlParts;
+use crate::control::home_manager::map_address;
+use crate::fleet::change_log::ChangeLog;
+use crate::group::access::AccessTable;
+use crate::limit::rate_limiter::RateLimiter;
+use crate::metrics::MetricsSender;
+use crate::operator::server::OperatorServer;
+use crate::peer::pool::PeerPool;
+use crate::peer::server::PeerContext;
+use crate::peer::server::serve_peers;
+use crate::platform::rpc_client::RpcPlatform;
+use crate::relay::relay_server::RelayServer;
+use crate::settings::daemon_settings::DaemonSettings;
+use crate::tls::acceptor;
+use crate::traffic::cancel_registry::CancelKey;
+use crate::traffic::cancel_registry::CancelRegistry;
+use crate::traffic::context::CancelForwarder;
+use crate::traffic::context::TrafficContext;
+use crate::traffic::snapshot::Snapshot;
+use crate::traffic::standing_clock::StandingClock;
+
+/// Longest wait for another daemon.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A running daemon.
+pub struct Daemon {
+    control: ControlHandle,
+    control_thread: Option<std::thread::JoinHandle<()>>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+    sessions: TaskTracker,
+    caller_address: SocketAddr,
+}
+
+/// Passes cancel requests on to all other daemons.
+struct PeerCancelForwarder {
+    settings: Arc<DaemonSettings>,
+    peers: Arc<PeerPool>,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
+}
+
+#[async_trait]
+impl CancelForwarder for PeerCancelForwarder {
+    async fn forward(&self, key: CancelKey) {
+        let fleet = self.snapshot.borrow().fleet.clone();
+        let others = fleet.hosts().iter().filter(|host| host.name != self.settings.name);
+        let addresses = others.filter_map(|host| map_address(&self.settings, &host.peer_address));
+        let telling = addresses.map(|address| {
+            self.peers.call(address, move |client, context| async move {
+                client.cancel(context, key.process_id, key.secret).await
+            })
+        });
+        futures::future::join_all(telling).await;
+    }
+}
+
+impl Daemon {
+    /// Starts a daemon on the current runtime, which serves its callers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be bound or a certificate cannot be read.
+    pub async fn start(settings: DaemonSettings) -> std::io::Result<Self> {
+        let settings = Arc::new(settings);
+        let stop = CancellationToken::new();
+        let tasks = TaskTracker::new();
+        let caller_listener = TcpListener::bind(settings.caller_address.as_str()).await?;
+        let caller_address = caller_listener.local_addr()?;
+        let relay_listener = TcpListener::bind(settings.relay_address.as_str()).await?;
+        let (publisher, snapshot) = watch::channel(Arc::new(Snapshot::default()));
+        let peers = Arc::new(PeerPool::new(&settings.shared_secret, PEER_TIMEOUT));
+        let traffic = Arc::new(traffic_context(&settings, snapshot, &peers, &stop)?);
+        let relay = RelayServer::new(&settings.shared_secret, stop.clone(), tasks.clone());
+        tasks.spawn(relay.clone().serve(relay_listener));
+        let (control, questions) = driver::channel();
+        let peer_context = PeerContext {
+            secret: settings.shared_secret.to_string(),
+            control: control.clone(),
+            traffic: traffic.clone(),
+        };
+        let peer_address = parse(&settings.peer_address)?;
+        serve_peers(peer_context, peer_address, stop.clone(), tasks.clone()).await?;
+        let operators = OperatorServer::start(
+            control.clone(),
+            traffic.clone(),
+            &settings.shared_secret,
+            parse(&settings.operator_address)?,
+        )
+        .await?;
+        let stopping = stop.clone();
+        tasks.spawn(async move {
+            stopping.cancelled().await;
+            let _ = operators.stop();
+            operators.stopped().await;
+        });
+        if let Some(address) = &settings.statsd_address {
+            let sender = MetricsSender::new(parse(address)?, &settings.name)?;
+            tasks.spawn(sender.run(control.clone(), stop.clone()));
+        }
+        tasks.spawn(accept_callers(traffic.clone(), caller_listener));
+        let parts = control_parts(&settings, &traffic, publisher, relay, peers, &stop)?;
+        let control_thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || driver::run(parts, questions))?;
+        log::info!(
+            event = "daemon_started",
+            host = settings.name,
+            callers = caller_address.to_string();
+            ""
+        );
+        Ok(Self {
+            control,
+            control_thread: Some(control_thread),
+            stop,
+            tasks,
+            sessions: traffic.sessions.clone(),
+            caller_address,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns the way to the control thread.
+    pub fn control(&self) -> &ControlHandle {
+        &self.control
+    }
+
+    /// Starts a planned stop: the daemon ends once no caller's transaction runs on it.
+    pub async fn drain(&self) {
+        self.control.drain().await;
+    }
+
+    /// Waits until the daemon has stopped, and joins all that it started.
+    pub async fn stopped(mut self) {
+        self.stop.cancelled().await;
+        self.sessions.close();
+        self.sessions.wait().await;
+        self.tasks.close();
+        self.tasks.wait().await;
+        if let Some(thread) = self.control_thread.take() {
+            let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+        }
+        log::info!(event = "daemon_stopped"; "");
+    }
+
+    /// Ends the daemon at once, cutting off what runs.
+    pub fn abort(&self) {
+        self.stop.cancel();
+    }
+}
+
+fn parse(address: &str) -> std::io::Result<SocketAddr> {
+    address.parse().map_err(std::io::Error::other)
+}
+
+fn traffic_context(
+    settings: &Arc<DaemonSettings>,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
+    peers: &Arc<PeerPool>,
+    stop: &CancellationToken,
+) -> std::io::Result<TrafficContext> {
+    let standing = Arc::new(StandingClock::default());
+    let forwarder = PeerCancelForwarder {
+        settings: settings.clone(),
+        peers: peers.clone(),
+        snapshot: snapshot.clone(),
+    };
+    let tls = match &settings.caller_tls {
+        Some(files) => {
+            let certificate = Path::new(&files.certificate_file);
+            Some(acceptor(certificate, Path::new(&files.key_file))?)
+        }
+        None => None,
+    };
+    Ok(TrafficContext {
+        access: AccessTable::default(),
+        snapshot,
+        limiter: RateLimiter::new(standing.clone()),
+        standing,
+        cancels: CancelRegistry::default(),
+        cancel_forwarder: Box::new(forwarder),
+        signer: TokenSigner::new(&settings.shared_secret),
+        tls,
+        max_message_bytes: settings.max_message_bytes as usize,
+        max_connections: settings.max_connections.get() as usize,
+        startup_timeout: Duration::from_millis(settings.startup_timeout_ms),
+        stop: stop.clone(),
+        sessions: TaskTracker::new(),
+    })
+}
+
+fn control_parts(
+    settings: &Arc<DaemonSettings>,
+    traffic: &Arc<TrafficContext>,
+    publisher: watch::Sender<Arc<Snapshot>>,
+    relay: Arc<RelayServer>,
+    peers: Arc<PeerPool>,
+    stop: &CancellationToken,
+) -> std::io::Result<ControlParts> {
+    let timeout = Duration::from_millis(settings.platform_timeout_ms);
+    let platform = RpcPlatform::new(parse(&settings.platform_address)?, timeout);
+    Ok(ControlParts {
+        settings: settings.clone(),
+        incarnation: clock::unix_ms(),
+        log: ChangeLog::new(Arc::new(platform)),
+        peers,
+        traffic: traffic.clone(),
+        publisher,
+        relay,
+        runtime: tokio::runtime::Handle::current(),
+        stop: stop.clone(),
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,15 +5,28 @@
 //! once, and workspaces keep to their rates. See `docs/ARCHITECTURE.md`.
 
 pub mod caller;
+pub mod chart;
 pub mod clock;
+pub mod control;
+pub mod daemon;
 pub mod fleet;
 pub mod group;
 pub mod limit;
+pub mod logging;
+pub mod metrics;
 pub mod name;
+pub mod operator;
+pub mod peer;
 pub mod platform;
+pub mod relay;
 pub mod settings;
+pub mod tls;
 pub mod traffic;
 pub mod wire;
 
+#[cfg(feature = "stand-ins")]
+pub mod client;
+#[cfg(feature = "stand-ins")]
+pub mod load;
 #[cfg(feature = "stand-ins")]
 pub mod stand_in;
--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,3 @@
+//! A load tool: what callers experience, measured.
+
+pub mod command;
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,6 @@
+//! What operators ask of a daemon, over JSON-RPC.
+
+pub mod api;
+pub mod auth_layer;
+pub mod server;
+pub mod status;
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,5 @@
+//! The exchange between daemons.
+
+pub mod rpc;
+pub mod server;
+pub mod pool;
--- /dev/null
+++ b/src/relay/relay_access.rs
@@ -0,0 +1,230 @@
+//! The way to a group through its homes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use pgwire::messages::PgWireBackendMessage as Reply;
+use pgwire::messages::PgWireFrontendMessage as Request;
+use pgwire::messages::simplequery::Query;
+
+use super::relay_lane::RelayLane;
+use super::relay_message::RELAY_USER;
+use super::relay_message::RelayCommand;
+use super::relay_message::RelayGrant;
+use crate::group::lane::GroupAccess;
+use crate::group::lane::LaneGrant;
+use crate::group::lane::LaneRequest;
+use crate::group::member_connection::MemberAddress;
+use crate::group::member_connection::MemberConnection;
+use crate::group::member_control::MemberError;
+use crate::wire::sql_error::SqlError;
+use crate::wire::sql_state;
+
+/// Longest time to connect to a home.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a home is left alone after it could not be reached.
+const AVOID_TIME: Duration = Duration::from_millis(500);
+
+/// Pause before all homes are tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Added to a request's timeout for the way to the home and back.
+const ANSWER_GRACE: Duration = Duration::from_millis(200);
+
+/// Idle connections kept to one home.
+const MAX_IDLE: usize = 64;
+
+/// Connections to one home for one group.
+pub struct RelayPool {
+    target: MemberAddress,
+    idle: Mutex<Vec<MemberConnection>>,
+    avoided_until: Mutex<Option<Instant>>,
+}
+
+impl RelayPool {
+    /// Keeps a connection on which no lane is open, or on which one is being given back.
+    pub fn keep(&self, connection: MemberConnection) {
+        let mut idle = lock(&self.idle);
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+
+    fn is_avoided(&self) -> bool {
+        lock(&self.avoided_until).is_some_and(|until| Instant::now() < until)
+    }
+
+    fn avoid(&self) {
+        *lock(&self.avoided_until) = Some(Instant::now() + AVOID_TIME);
+        lock(&self.idle).clear();
+    }
+
+    async fn connect(&self) -> Result<(MemberConnection, bool), MemberError> {
+        let idle = lock(&self.idle).pop();
+        match idle {
+            Some(connection) => Ok((connection, true)),
+            None => Ok((MemberConnection::open(&self.target).await?, false)),
+        }
+    }
+}
+
+/// The way to a group through its homes.
+pub struct RelayAccess {
+    group: String,
+    secret: String,
+    homes: Mutex<Vec<Arc<RelayPool>>>,
+}
+
+/// Why a home gave no lane.
+enum Refusal {
+    /// Another home may do better.
+    TryNext(SqlError),
+    /// The request is refused.
+    Final(SqlError),
+}
+
+impl RelayAccess {
+    /// Creates a way with no homes.
+    pub fn new(group: &str, secret: &str) -> Self {
+        Self {
+            group: group.to_owned(),
+            secret: secret.to_owned(),
+            homes: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Sets the relay addresses of the homes, the preferred one first.
+    pub fn set_homes(&self, addresses: Vec<SocketAddr>) {
+        let mut homes = lock(&self.homes);
+        let pool_of = |address: &SocketAddr| {
+            let known = homes.iter().find(|pool| pool.target.address == *address);
+            known.cloned().unwrap_or_else(|| Arc::new(self.new_pool(*address)))
+        };
+        let next = addresses.iter().map(pool_of).collect();
+        *homes = next;
+    }
+
+    fn new_pool(&self, address: SocketAddr) -> RelayPool {
+        RelayPool {
+            target: MemberAddress {
+                address,
+                user: RELAY_USER.to_owned(),
+                password: self.secret.clone(),
+                database: self.group.clone(),
+                connect_timeout: CONNECT_TIMEOUT,
+            },
+            idle: Mutex::new(Vec::new()),
+            avoided_until: Mutex::new(None),
+        }
+    }
+
+    /// Asks one home for a lane. An idle connection that turns out broken is replaced.
+    async fn ask(&self, pool: &Arc<RelayPool>, request: &LaneRequest) -> Result<LaneGrant, Refusal> {
+        loop {
+            let (connection, was_idle) = pool.connect().await.map_err(|error| {
+                pool.avoid();
+                Refusal::TryNext(no_home(&self.group, &error))
+            })?;
+            let timeout = Duration::from_millis(request.timeout_ms) + ANSWER_GRACE;
+            let asking = ask_on(connection, request);
+            match tokio::time::timeout(timeout, asking).await {
+                Ok(Ok((connection, Ok(grant)))) => {
+                    return Ok(LaneGrant {
+                        lane: Box::new(RelayLane::new(connection, pool.clone())),
+                        floor: grant.floor,
+                        is_replica: grant.is_replica,
+                    });
+                }
+                Ok(Ok((connection, Err(error)))) => {
+                    pool.keep(connection);
+                    return Err(match error.code.as_str() {
+                        sql_state::CANNOT_CONNECT => Refusal::TryNext(error),
+                        _ => Refusal::Final(error),
+                    });
+                }
+                Ok(Err(_)) if was_idle => continue,
+                Ok(Err(error)) => {
+                    pool.avoid();
+                    return Err(Refusal::TryNext(no_home(&self.group, &error)));
+                }
+                Err(_) => {
+                    pool.avoid();
+                    let error = MemberError::Unreachable("no answer in time".to_owned());
+                    return Err(Refusal::TryNext(no_home(&self.group, &error)));
+                }
+            }
+        }
+    }
+}
+
+/// Asks for a lane; reads past the answer to the release of the one before.
+async fn ask_on(
+    mut connection: MemberConnection,
+    request: &LaneRequest,
+) -> Result<(MemberConnection, Result<RelayGrant, SqlError>), MemberError> {
+    let sql = RelayCommand::Ask(request.clone()).to_sql();
+    connection.send(vec![Request::Query(Query::new(sql))]).await?;
+    let mut outcome = None;
+    loop {
+        let reply = connection.receive().await?;
+        if let Some(grant) = RelayGrant::from_message(&reply) {
+            outcome = Some(Ok(grant));
+        }
+        match reply {
+            Reply::ErrorResponse(response) => {
+                outcome = Some(Err(SqlError::from_response(&response)));
+            }
+            Reply::ReadyForQuery(_) => {
+                if let Some(outcome) = outcome {
+                    return Ok((connection, outcome));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+#[async_trait]
+impl GroupAccess for RelayAccess {
+    async fn acquire(&self, mut request: LaneRequest) -> Result<LaneGrant, SqlError> {
+        let deadline = Instant::now() + Duration::from_millis(request.timeout_ms);
+        let mut last = SqlError::new(
+            sql_state::NOT_RUN,
+            format!("not run: no daemon holds connections to group {}", self.group),
+        );
+        loop {
+            let homes = lock(&self.homes).clone();
+            for pool in homes.iter().filter(|pool| !pool.is_avoided()) {
+                let left = deadline.saturating_duration_since(Instant::now());
+                request.timeout_ms = left.as_millis() as u64;
+                match self.ask(pool, &request).await {
+                    Ok(grant) => return Ok(grant),
+                    Err(Refusal::Final(error)) => return Err(error),
+                    Err(Refusal::TryNext(error)) => last = error,
+                }
+            }
+            if Instant::now() + RETRY_PAUSE >= deadline {
+                return Err(last);
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+fn no_home(group: &str, error: &MemberError) -> SqlError {
+    let reason = match error {
+        MemberError::Unreachable(reason) | MemberError::Refused(reason) => reason,
+    };
+    let message = format!("not run: no daemon with connections to group {group} answers: {reason}");
+    SqlError::new(sql_state::NOT_RUN, message).with_hint("Try again in 1 s.")
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/src/relay/relay_lane.rs
@@ -0,0 +1,92 @@
+//! A lane over a home's connection.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use pgwire::messages::PgWireBackendMessage as Reply;
+use pgwire::messages::PgWireFrontendMessage as Request;
+use pgwire::messages::simplequery::Query;
+
+use super::relay_access::RelayPool;
+use super::relay_message::NOT_ACKNOWLEDGED_PARAMETER;
+use super::relay_message::RelayCommand;
+use crate::group::lane::Lane;
+use crate::group::lane::LaneError;
+use crate::group::member_connection::MemberConnection;
+use crate::group::member_control::MemberError;
+
+/// A lane over a home's connection.
+pub struct RelayLane {
+    connection: Option<MemberConnection>,
+    pool: Arc<RelayPool>,
+    is_broken: bool,
+}
+
+impl RelayLane {
+    /// Creates a lane over a relay connection on which a home has granted one.
+    pub fn new(connection: MemberConnection, pool: Arc<RelayPool>) -> Self {
+        Self {
+            connection: Some(connection),
+            pool,
+            is_broken: false,
+        }
+    }
+
+    fn connection(&mut self) -> Result<&mut MemberConnection, LaneError> {
+        let lost = || LaneError::Lost("the connection to the home was lost".to_owned());
+        self.connection.as_mut().ok_or_else(lost)
+    }
+
+    fn lose(&mut self, error: MemberError) -> LaneError {
+        self.connection = None;
+        match error {
+            MemberError::Unreachable(reason) | MemberError::Refused(reason) => {
+                LaneError::Lost(reason)
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl Lane for RelayLane {
+    async fn send(&mut self, messages: Vec<Request>) -> Result<(), LaneError> {
+        match self.connection()?.send(messages).await {
+            Ok(()) => Ok(()),
+            Err(error) => Err(self.lose(error)),
+        }
+    }
+
+    async fn receive(&mut self) -> Result<Reply, LaneError> {
+        let reply = match self.connection()?.receive().await {
+            Ok(reply) => reply,
+            Err(error) => return Err(self.lose(error)),
+        };
+        match &reply {
+            Reply::ParameterStatus(status) if status.name == NOT_ACKNOWLEDGED_PARAMETER => {
+                self.is_broken = true;
+                Err(LaneError::NotAcknowledged)
+            }
+            _ => Ok(reply),
+        }
+    }
+
+    async fn cancel(&mut self) {
+        if let Ok(connection) = self.connection() {
+            connection.cancel().await;
+        }
+    }
+
+    async fn release(mut self: Box<Self>, is_clean: bool) {
+        let Some(mut connection) = self.connection.take().filter(|_| !self.is_broken) else {
+            return;
+        };
+        // A home takes a lane back when its connection closes; asking saves the connection.
+        if !is_clean {
+            return;
+        }
+        let sql = RelayCommand::Release { is_clean }.to_sql();
+        if connection.send(vec![Request::Query(Query::new(sql))]).await.is_ok() {
+            self.pool.keep(connection);
+        }
+    }
+}
--- a/src/stand_in.rs
+++ b/src/stand_in.rs
@@ -2,6 +2,7 @@
 //!
 //! The daemon never uses this folder; a production build leaves it out.
 
+pub mod deployment;
 pub mod fault_proxy;
 pub mod member;
 pub mod platform;
--- /dev/null
+++ b/src/stand_in/deployment.rs
@@ -0,0 +1,253 @@
+//! A whole deployment of stand-ins on the loopback interface, with settings for its daemons.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::member::Member;
+use super::member::MemberOptions;
+use super::platform::PlatformStandIn;
+
+/// User and password of daemons on members.
+const MEMBER_USER: &str = "snipehead";
+const MEMBER_PASSWORD: &str = "member-password";
+
+/// Secret that the deployment's daemons share.
+pub const SHARED_SECRET: &str = "demo-secret-of-all-daemons";
+
+/// Members of each group.
+const MEMBERS: usize = 3;
+
+/// What to deploy.
+#[derive(Clone, Debug)]
+pub struct DeploymentPlan {
+    /// Names of the data centres.
+    pub data_centres: Vec<String>,
+    /// Number of entry hosts, spread over the data centres.
+    pub hosts: usize,
+    /// Names of the groups.
+    pub groups: Vec<String>,
+    /// Names of the workspaces; each may use every group.
+    pub workspaces: Vec<String>,
+    /// The fleet's defaults.
+    pub defaults: Value,
+    /// The fleet's exceptions.
+    pub exceptions: Value,
+}
+
+impl DeploymentPlan {
+    /// A small deployment: three data centres, three hosts, one group, one workspace.
+    pub fn small() -> Self {
+        let names = |prefix: &str| (1..=3).map(|index| format!("{prefix}{index}")).collect();
+        Self {
+            data_centres: names("dc"),
+            hosts: 3,
+            groups: vec!["dispatch".to_owned()],
+            workspaces: vec!["families".to_owned()],
+            defaults: json!({}),
+            exceptions: json!([]),
+        }
+    }
+}
+
+/// Addresses of one daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct HostAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For requests of other daemons.
+    pub relay: SocketAddr,
+    /// For the exchange between daemons.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+}
+
+/// A running deployment, without its daemons.
+pub struct Deployment {
+    /// The platform.
+    pub platform: PlatformStandIn,
+    /// Members by group.
+    pub members: BTreeMap<String, Vec<Arc<Member>>>,
+    /// Addresses of the members by group, for SQL.
+    pub member_addresses: BTreeMap<String, Vec<SocketAddr>>,
+    /// Addresses of the daemons by host.
+    pub hosts: BTreeMap<String, HostAddresses>,
+    plan: DeploymentPlan,
+}
+
+/// Returns a loopback address with a port that is free now.
+///
+/// # Errors
+///
+/// Returns an error when no port can be bound.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+impl Deployment {
+    /// Starts the platform and the members.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be bound.
+    pub async fn start(plan: DeploymentPlan) -> std::io::Result<Self> {
+        let platform = PlatformStandIn::start(free_address()?).await?;
+        let mut members = BTreeMap::new();
+        let mut member_addresses = BTreeMap::new();
+        for group in &plan.groups {
+            let (started, addresses) = start_group(None).await?;
+            members.insert(group.clone(), started);
+            member_addresses.insert(group.clone(), addresses);
+        }
+        let mut hosts = BTreeMap::new();
+        for index in 0..plan.hosts {
+            let addresses = HostAddresses {
+                caller: free_address()?,
+                relay: free_address()?,
+                peer: free_address()?,
+                operator: free_address()?,
+            };
+            hosts.insert(host_name(index), addresses);
+        }
+        Ok(Self {
+            platform,
+            members,
+            member_addresses,
+            hosts,
+            plan,
+        })
+    }
+
+    /// Returns the data centre of the host or member with this index.
+    pub fn data_centre(&self, index: usize) -> &str {
+        &self.plan.data_centres[index % self.plan.data_centres.len()]
+    }
+
+    /// Returns the fleet's document.
+    pub fn document(&self) -> Value {
+        let host = |(index, (name, addresses)): (usize, (&String, &HostAddresses))| {
+            json!({
+                "name": name,
+                "data_centre": self.data_centre(index),
+                "peer_address": addresses.peer.to_string(),
+                "relay_address": addresses.relay.to_string(),
+                "operator_address": addresses.operator.to_string(),
+            })
+        };
+        let group = |(name, addresses): (&String, &Vec<SocketAddr>)| {
+            let member = |(index, address): (usize, &SocketAddr)| {
+                json!({
+                    "name": member_name(index),
+                    "data_centre": self.data_centre(index),
+                    "address": address.to_string(),
+                })
+            };
+            let members: Vec<Value> = addresses.iter().enumerate().map(member).collect();
+            json!({ "name": name, "members": members })
+        };
+        let workspace = |name: &String| json!({ "name": name, "groups": self.plan.groups });
+        json!({
+            "defaults": self.plan.defaults,
+            "exceptions": self.plan.exceptions,
+            "entry_hosts": self.hosts.iter().enumerate().map(host).collect::<Vec<_>>(),
+            "groups": self.member_addresses.iter().map(group).collect::<Vec<_>>(),
+            "workspaces": self.plan.workspaces.iter().map(workspace).collect::<Vec<_>>(),
+        })
+    }
+
+    /// Returns the settings of the daemon on a host.
+    pub fn settings(&self, host: &str) -> Value {
+        let addresses = self.hosts[host];
+        let index = self.hosts.keys().position(|name| name == host).unwrap_or(0);
+        json!({
+            "name": host,
+            "data_centre": self.data_centre(index),
+            "caller_address": addresses.caller.to_string(),
+            "relay_address": addresses.relay.to_string(),
+            "peer_address": addresses.peer.to_string(),
+            "operator_address": addresses.operator.to_string(),
+            "platform_address": self.platform.address().to_string(),
+            "member_user": MEMBER_USER,
+            "member_password": MEMBER_PASSWORD,
+            "shared_secret": SHARED_SECRET,
+        })
+    }
+
+    /// Returns the names of the hosts.
+    pub fn host_names(&self) -> Vec<String> {
+        self.hosts.keys().cloned().collect()
+    }
+
+    /// Returns a member by the name of its group and its index.
+    pub fn member(&self, group: &str, index: usize) -> &Arc<Member> {
+        &self.members[group][index]
+    }
+
+    /// Stops everything.
+    pub async fn stop(&self) {
+        for member in self.members.values().flatten() {
+            member.stop().await;
+        }
+        self.platform.stop().await;
+    }
+}
+
+/// Returns the name of the host with this index.
+pub fn host_name(index: usize) -> String {
+    format!("host{:02}", index + 1)
+}
+
+/// Returns the name of the member with this index.
+pub fn member_name(index: usize) -> String {
+    format!("m{}", index + 1)
+}
+
+/// Addresses at which members of a group send log entries to each other, in place of the direct
+/// ones: `routes[from][to]`.
+pub type ReplicationRoutes = Vec<Vec<SocketAddr>>;
+
+/// Starts the members of a group; the first is primary.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound.
+pub async fn start_group(
+    addresses: Option<(Vec<SocketAddr>, ReplicationRoutes)>,
+) -> std::io::Result<(Vec<Arc<Member>>, Vec<SocketAddr>)> {
+    let (replication, routes) = match addresses {
+        Some(given) => given,
+        None => {
+            let direct = (0..MEMBERS)
+                .map(|_| free_address())
+                .collect::<std::io::Result<Vec<_>>>()?;
+            (direct.clone(), vec![direct; MEMBERS])
+        }
+    };
+    let mut members = Vec::new();
+    let mut sql_addresses = Vec::new();
+    for index in 0..MEMBERS {
+        let sql_address = free_address()?;
+        let others = (0..MEMBERS)
+            .filter(|other| *other != index)
+            .map(|other| (member_name(other), routes[index][other]))
+            .collect();
+        let options = MemberOptions {
+            name: member_name(index),
+            sql_address,
+            replication_address: replication[index],
+            others,
+            user: MEMBER_USER.to_owned(),
+            password: MEMBER_PASSWORD.to_owned(),
+            max_connections: 1_000,
+            starts_as_primary: index == 0,
+        };
+        members.push(Member::start(options).await?);
+        sql_addresses.push(sql_address);
+    }
+    Ok((members, sql_addresses))
+}
--- /dev/null
+++ b/src/tls.rs
@@ -0,0 +1,35 @@
+//! Certificates for connections of callers.
+
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+
+use rustls::ServerConfig;
+use rustls_pki_types::CertificateDer;
+use rustls_pki_types::PrivateKeyDer;
+use rustls_pki_types::pem::PemObject;
+use tokio_rustls::TlsAcceptor;
+
+/// Reads a certificate chain and its key.
+///
+/// # Errors
+///
+/// Returns an error that names the file when it cannot be read or does not fit.
+pub fn acceptor(certificate_file: &Path, key_file: &Path) -> io::Result<TlsAcceptor> {
+    let named = |file: &Path, error: &dyn std::fmt::Display| {
+        io::Error::other(format!("{}: {error}", file.display()))
+    };
+    let chain = CertificateDer::pem_file_iter(certificate_file)
+        .and_then(Iterator::collect::<Result<Vec<_>, _>>)
+        .map_err(|error| named(certificate_file, &error))?;
+    let key =
+        PrivateKeyDer::from_pem_file(key_file).map_err(|error| named(key_file, &error))?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(|error| named(certificate_file, &error))?
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .map_err(|error| named(certificate_file, &error))?;
+    Ok(TlsAcceptor::from(Arc::new(config)))
+}
