--- a/src/client/arguments.rs
+++ b/src/client/arguments.rs
@@ -16,7 +16,7 @@
     /// name under which changes are recorded; by default USER from the environment
     #[argh(option)]
     pub who: Option<String>,
-    /// What to do.
+    /// what to do
     #[argh(subcommand)]
     pub command: Command,
 }
@@ -69,7 +69,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "key")]
 pub struct KeyGroup {
-    /// What to do.
+    /// what to do
     #[argh(subcommand)]
     pub command: KeyCommand,
 }
@@ -119,7 +119,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "zone")]
 pub struct ZoneGroup {
-    /// What to do.
+    /// what to do
     #[argh(subcommand)]
     pub command: ZoneCommand,
 }
@@ -165,7 +165,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "backend")]
 pub struct BackendGroup {
-    /// What to do.
+    /// what to do
     #[argh(subcommand)]
     pub command: BackendCommand,
 }
@@ -214,7 +214,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "config")]
 pub struct ConfigGroup {
-    /// What to do.
+    /// what to do
     #[argh(subcommand)]
     pub command: ConfigCommand,
 }
