--- a/src/control/failover.rs
+++ b/src/control/failover.rs
@@ -12,6 +12,10 @@
 /// Time by which each further home of a group waits longer, in milliseconds.
 const RANK_DELAY_MS: u64 = 400;
 
+/// A primary that its members hear, but no home reaches, is replaced after this many times the
+/// usual silence.
+const UNREACHED_FACTOR: u64 = 2;
+
 /// What a home knows when it decides.
 pub struct Situation<'a> {
     /// Time, in milliseconds.
@@ -79,6 +83,8 @@
     /// Member that an operator asked for.
     wanted: Option<usize>,
     is_move_asked: bool,
+    /// Primary that steps down in a planned change.
+    stepping_down: Option<usize>,
     /// Time before which no further move is tried, in milliseconds.
     quiet_until_ms: u64,
 }
@@ -96,6 +102,7 @@
             term: 0,
             wanted: None,
             is_move_asked: false,
+            stepping_down: None,
             quiet_until_ms: 0,
         })
     }
@@ -154,6 +161,7 @@
             self.lost_since_ms = None;
             self.is_move_asked = false;
             self.wanted = None;
+            self.stepping_down = None;
             self.quiet_until_ms = now_ms + QUIET_MS;
         }
         let names = self.machine.fire(event);
@@ -165,8 +173,11 @@
         self.machine.fire("primary_lost");
         let waited_ms = situation.now_ms.saturating_sub(since_ms);
         let delay_ms = situation.rank * RANK_DELAY_MS;
-        let is_due = waited_ms >= delay_ms && may_elect(situation);
-        is_due.then_some("silence_over")
+        let is_long_unreached = situation.is_unreached_by_all
+            && waited_ms >= delay_ms + UNREACHED_FACTOR * situation.failover_after_ms;
+        let is_silent = waited_ms >= delay_ms && hears_no_primary(situation);
+        let has_majority = situation.view.reachable_count() >= situation.view.majority();
+        (has_majority && (is_silent || is_long_unreached)).then_some("silence_over")
     }
 
     fn wants_move(&self, situation: &Situation<'_>, primary: usize) -> bool {
@@ -195,7 +206,11 @@
         let held = |member: &usize| grants[*member].as_ref().map(|grant| grant.status.held);
         let most = members.iter().map(held).max()?;
         let advanced = members.into_iter().filter(|member| held(member) == most);
-        advanced.max_by_key(|member| (self.wanted == Some(*member), !leaving[*member]))
+        advanced.max_by_key(|member| {
+            let is_wanted = self.wanted == Some(*member);
+            let steps_down = self.stepping_down == Some(*member);
+            (is_wanted, !leaving[*member], !steps_down)
+        })
     }
 
     fn actions(
@@ -216,6 +231,7 @@
                     term: self.term,
                 })),
                 "step_down" => {
+                    self.stepping_down = view.primary();
                     actions.extend(view.primary().map(|member| FailoverAction::StepDown {
                         member,
                         term: view.highest_term(),
@@ -244,16 +260,15 @@
     (0..view.len()).filter(is_deaf).count() >= view.majority()
 }
 
-/// Returns whether a majority answers, and none of it has heard a primary lately. A primary that
-/// only this daemon does not reach is left alone.
-fn may_elect(situation: &Situation<'_>) -> bool {
+/// Returns whether no member that answers has heard a primary lately. A primary that only this
+/// daemon does not reach is left alone.
+fn hears_no_primary(situation: &Situation<'_>) -> bool {
     let view = situation.view;
-    let has_heard = |member: &usize| {
-        let status = view.status(*member).unwrap_or_default();
-        view.is_reachable(*member)
+    let has_heard = |member: usize| {
+        let status = view.status(member).unwrap_or_default();
+        view.is_reachable(member)
             && !status.is_primary
             && status.primary_silent_ms < situation.failover_after_ms
     };
-    let is_silent = !(0..view.len()).any(|member| has_heard(&member));
-    view.reachable_count() >= view.majority() && (is_silent || situation.is_unreached_by_all)
+    !(0..view.len()).any(has_heard)
 }
--- a/src/group/group_home.rs
+++ b/src/group/group_home.rs
@@ -270,7 +270,13 @@
             };
             match connection.reaches(floor).await {
                 Ok(true) => {
-                    let lane = MemberLane::new(home.clone(), target.member, connection, slot);
+                    let lane = MemberLane::new(
+                        home.clone(),
+                        target.member,
+                        target.is_replica,
+                        connection,
+                        slot,
+                    );
                     return Ok(LaneGrant {
                         lane: Box::new(lane),
                         floor,
--- a/src/group/member_connection.rs
+++ b/src/group/member_connection.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use futures::SinkExt;
 use futures::StreamExt;
 use pgwire::api::client::Config;
@@ -84,6 +85,11 @@
         self.client.flush().await.map_err(|error| unreachable(&error.to_string()))
     }
 
+    /// Returns whether an idle connection was closed, or was sent something that nobody asked for.
+    pub fn is_spoilt(&mut self) -> bool {
+        self.client.next().now_or_never().is_some()
+    }
+
     /// Receives the next message.
     ///
     /// # Errors
--- a/src/group/member_lane.rs
+++ b/src/group/member_lane.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use futures::FutureExt;
 use pgwire::messages::PgWireBackendMessage as Reply;
 use pgwire::messages::PgWireFrontendMessage as Request;
 use pgwire::messages::response::TransactionStatus;
@@ -16,11 +17,16 @@
 use super::member_connection::MemberConnection;
 use super::member_control::MemberError;
 use super::slot_pool::Slot;
+use crate::wire::sql_error::SqlError;
+use crate::wire::sql_state;
 
 /// A lane over a connection of this daemon.
 pub struct MemberLane {
     home: Arc<GroupHome>,
     member: usize,
+    is_replica: bool,
+    /// Highest term known when the lane was made.
+    term: u64,
     connection: Option<MemberConnection>,
     /// A commit whose place was received and which no majority is known to hold yet.
     unacknowledged: Option<LogPosition>,
@@ -34,13 +40,16 @@
     pub fn new(
         home: Arc<GroupHome>,
         member: usize,
+        is_replica: bool,
         connection: MemberConnection,
         slot: Slot,
     ) -> Self {
         home.start_work(member);
         Self {
+            term: home.prober().view().highest_term(),
             home,
             member,
+            is_replica,
             connection: Some(connection),
             unacknowledged: None,
             is_cancelled: false,
@@ -64,6 +73,22 @@
         }
     }
 
+    /// Receives a message, unless the member turns out to be lost.
+    async fn receive_or_lose(&mut self) -> Result<Reply, MemberError> {
+        let lost = || MemberError::Unreachable("the connection to the member was lost".to_owned());
+        let connection = self.connection.as_mut().ok_or_else(lost)?;
+        if let Some(ready) = connection.receive().now_or_never() {
+            return ready;
+        }
+        let prober = self.home.prober();
+        tokio::select! {
+            reply = connection.receive() => reply,
+            () = prober.member_lost(self.member, self.term, self.is_replica) => {
+                Err(MemberError::Unreachable("the member gives no answer".to_owned()))
+            }
+        }
+    }
+
     async fn acknowledge(&mut self, commit: LogPosition) -> Result<Reply, LaneError> {
         let timeout = self.home.options().acknowledge_timeout;
         let is_held = self.home.prober().acknowledge(commit, timeout).await;
@@ -99,11 +124,18 @@
         if let Some(commit) = self.unacknowledged {
             return self.acknowledge(commit).await;
         }
-        let reply = match self.connection()?.receive().await {
+        let reply = match self.receive_or_lose().await {
             Ok(reply) => reply,
             Err(error) => return Err(self.lose(error)),
         };
         match &reply {
+            Reply::ErrorResponse(response) => {
+                let error = SqlError::from_response(response);
+                if error.code == sql_state::READ_ONLY {
+                    self.home.prober().refresh();
+                }
+                Ok(reply)
+            }
             Reply::ParameterStatus(status) if status.name == COMMIT_PARAMETER => {
                 let Ok(commit) = status.value.parse() else {
                     return Err(LaneError::Lost("commit place is not readable".to_owned()));
--- a/src/group/prober.rs
+++ b/src/group/prober.rs
@@ -104,11 +104,13 @@
 
     /// Waits until a majority holds a write; returns whether it does within the time.
     pub async fn acknowledge(&self, commit: LogPosition, timeout: Duration) -> bool {
-        let is_held = |quorum: &Quorum| {
-            (quorum.acknowledgement(commit) == Acknowledgement::Held).then_some(())
+        let judged = |quorum: &Quorum| match quorum.acknowledgement(commit) {
+            Acknowledgement::Held => Some(true),
+            Acknowledgement::Superseded => Some(false),
+            Acknowledgement::Pending => None,
         };
-        let waiting = self.wait_for(is_held);
-        tokio::time::timeout(timeout, waiting).await.is_ok()
+        let waiting = self.wait_for(judged);
+        tokio::time::timeout(timeout, waiting).await.unwrap_or(false)
     }
 
     /// Returns a place that includes every write acknowledged before the call.
@@ -138,6 +140,25 @@
         lock(&self.quorum)
     }
 
+    /// Waits until work on a member is hopeless: it gives no answer, and it is a replica or has
+    /// been replaced as the primary of `term`.
+    pub async fn member_lost(&self, member: usize, term: u64, is_replica: bool) {
+        let mut changes = self.changed.subscribe();
+        loop {
+            changes.mark_unchanged();
+            {
+                let quorum = self.lock();
+                let is_replaced = quorum.highest_term() > term;
+                if !quorum.is_reachable(member) && (is_replica || is_replaced) {
+                    return;
+                }
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Makes sure that a question is sent after now; returns its number.
     fn want_next(&self) -> u64 {
         let mut number = 0;
--- a/src/group/quorum.rs
+++ b/src/group/quorum.rs
@@ -21,6 +21,8 @@
     Held,
     /// Not yet known.
     Pending,
+    /// So many members have accepted a higher term that it can no longer be confirmed.
+    Superseded,
 }
 
 /// Last observations of each member of a group.
@@ -78,10 +80,14 @@
                 && status.held.position >= commit.position
         };
         let statuses = self.observations.iter().flatten().map(|observation| observation.status);
-        let others = statuses.filter(holds).count();
-        match others + 1 >= self.majority() {
-            true => Acknowledgement::Held,
-            false => Acknowledgement::Pending,
+        let others = statuses.clone().filter(holds).count();
+        let moved_on = statuses.filter(|status| status.accepted_term > commit.term).count();
+        if others + 1 >= self.majority() {
+            Acknowledgement::Held
+        } else if self.len() - moved_on < self.majority() {
+            Acknowledgement::Superseded
+        } else {
+            Acknowledgement::Pending
         }
     }
 
--- a/src/group/slot_pool.rs
+++ b/src/group/slot_pool.rs
@@ -190,8 +190,13 @@
     /// Takes an idle connection to a member, the one used last.
     pub fn take_idle(&self, member: usize) -> Option<MemberConnection> {
         let mut state = self.lock();
-        let index = state.idle.iter().rposition(|(owner, _)| *owner == member)?;
-        Some(state.idle.remove(index).1)
+        loop {
+            let index = state.idle.iter().rposition(|(owner, _)| *owner == member)?;
+            let (_, mut connection) = state.idle.remove(index);
+            if !connection.is_spoilt() {
+                return Some(connection);
+            }
+        }
     }
 
     /// Keeps a connection for the next request. Call it before its slot is dropped.
--- a/src/stand_in/deployment.rs
+++ b/src/stand_in/deployment.rs
@@ -4,6 +4,8 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use serde_json::Value;
 use serde_json::json;
@@ -80,13 +82,28 @@
     plan: DeploymentPlan,
 }
 
-/// Returns a loopback address with a port that is free now.
+/// Ports below those that the system gives to outgoing connections.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 22_000;
+
+/// Returns a loopback address with a port that is free now, and that no outgoing connection takes.
 ///
 /// # Errors
 ///
 /// Returns an error when no port can be bound.
 pub fn free_address() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(977);
+    loop {
+        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let port = u16::try_from(FIRST_PORT + offset).map_err(std::io::Error::other)?;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        match std::net::TcpListener::bind(address) {
+            Ok(_) => return Ok(address),
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 impl Deployment {
@@ -96,13 +113,28 @@
     ///
     /// Returns an error when an address cannot be bound.
     pub async fn start(plan: DeploymentPlan) -> std::io::Result<Self> {
+        let mut groups = BTreeMap::new();
+        for group in &plan.groups {
+            groups.insert(group.clone(), start_group(None).await?);
+        }
+        Self::start_with(plan, groups).await
+    }
+
+    /// Starts the platform in front of members that run already.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be bound.
+    pub async fn start_with(
+        plan: DeploymentPlan,
+        groups: BTreeMap<String, StartedGroup>,
+    ) -> std::io::Result<Self> {
         let platform = PlatformStandIn::start(free_address()?).await?;
         let mut members = BTreeMap::new();
         let mut member_addresses = BTreeMap::new();
-        for group in &plan.groups {
-            let (started, addresses) = start_group(None).await?;
+        for (group, (started, addresses)) in groups {
             members.insert(group.clone(), started);
-            member_addresses.insert(group.clone(), addresses);
+            member_addresses.insert(group, addresses);
         }
         let mut hosts = BTreeMap::new();
         for index in 0..plan.hosts {
@@ -211,6 +243,9 @@
 /// ones: `routes[from][to]`.
 pub type ReplicationRoutes = Vec<Vec<SocketAddr>>;
 
+/// Members of a group with their addresses for SQL.
+pub type StartedGroup = (Vec<Arc<Member>>, Vec<SocketAddr>);
+
 /// Starts the members of a group; the first is primary.
 ///
 /// # Errors
@@ -218,7 +253,7 @@
 /// Returns an error when an address cannot be bound.
 pub async fn start_group(
     addresses: Option<(Vec<SocketAddr>, ReplicationRoutes)>,
-) -> std::io::Result<(Vec<Arc<Member>>, Vec<SocketAddr>)> {
+) -> std::io::Result<StartedGroup> {
     let (replication, routes) = match addresses {
         Some(given) => given,
         None => {
