Leave a primary that reaches no majority of its members out of the choice of the next

Cause: a primary cut off only from its members held the longest log, of writes that nobody had acknowledged, and was chosen again every 50 ms (terms rose past 100 in 6 s, no write acknowledged). Change: an isolated primary does not count for the majority of an election, and a home pauses after an attempt. Ruled out: the members' refusal of terms (all granted), the probes (all answered).

--- a/src/control/failover.rs
+++ b/src/control/failover.rs
@@ -85,6 +85,9 @@
     is_move_asked: bool,
     /// Primary that steps down in a planned change.
     stepping_down: Option<usize>,
+    /// Primary that answers here and reaches no majority of its members. It may hold the longest
+    /// log, of writes that were never acknowledged, and must not be chosen for that.
+    isolated: Option<usize>,
     /// Time before which no further move is tried, in milliseconds.
     quiet_until_ms: u64,
 }
@@ -103,6 +106,7 @@
             wanted: None,
             is_move_asked: false,
             stepping_down: None,
+            isolated: None,
             quiet_until_ms: 0,
         })
     }
@@ -121,7 +125,8 @@
     /// Looks at the situation and returns what to do.
     pub fn step(&mut self, situation: &Situation<'_>) -> Vec<FailoverAction> {
         let primary = situation.view.primary();
-        let is_lost = primary.is_none_or(|primary| is_isolated(situation, primary));
+        self.isolated = primary.filter(|primary| is_isolated(situation, *primary));
+        let is_lost = primary.is_none() || self.isolated.is_some();
         if !is_lost {
             self.lost_since_ms = None;
             self.machine.fire("primary_seen");
@@ -176,7 +181,8 @@
         let is_long_unreached = situation.is_unreached_by_all
             && waited_ms >= delay_ms + UNREACHED_FACTOR * situation.failover_after_ms;
         let is_silent = waited_ms >= delay_ms && hears_no_primary(situation);
-        let has_majority = situation.view.reachable_count() >= situation.view.majority();
+        let has_majority = situation.view.reachable_count() >= situation.view.majority()
+            && situation.now_ms >= self.quiet_until_ms;
         (has_majority && (is_silent || is_long_unreached)).then_some("silence_over")
     }
 
@@ -197,7 +203,10 @@
     fn choose(&self, view: &Quorum, leaving: &[bool], grants: &[Option<Grant>]) -> Option<usize> {
         let granted = |member: &usize| {
             let grant = grants[*member].as_ref();
-            grant.is_some_and(|grant| grant.is_granted && grant.status.accepted_term == self.term)
+            self.isolated != Some(*member)
+                && grant.is_some_and(|grant| {
+                    grant.is_granted && grant.status.accepted_term == self.term
+                })
         };
         let members: Vec<usize> = (0..grants.len()).filter(granted).collect();
         if members.len() < view.majority() {
@@ -245,8 +254,8 @@
     }
 }
 
-/// Time after a change of primary in which no planned one is started, in milliseconds.
-const QUIET_MS: u64 = 1_000;
+/// Time after an attempt in which this home starts no other, in milliseconds.
+const QUIET_MS: u64 = 700;
 
 /// Returns whether a majority of members has not heard a primary that still answers here.
 fn is_isolated(situation: &Situation<'_>, primary: usize) -> bool {
