--- a/src/bin/snipeheadd.rs
+++ b/src/bin/snipeheadd.rs
@@ -4,12 +4,13 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
 use snipehead::daemon::Daemon;
 use snipehead::logging;
 use snipehead::settings::daemon_settings::DaemonSettings;
 use snipehead::settings::load::load_daemon_settings;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 /// Exit code for settings that cannot be used.
 const INVALID_SETTINGS: u8 = 2;
--- a/src/caller/classify.rs
+++ b/src/caller/classify.rs
@@ -52,10 +52,7 @@
             is_read_only: modes.iter().any(|mode| mode.to_string() == "READ ONLY"),
         },
         Statement::Commit { chain: false, .. } => StatementClass::Commit,
-        Statement::Rollback {
-            chain: false,
-            savepoint: None,
-        } => StatementClass::Rollback,
+        Statement::Rollback { chain: false, savepoint: None } => StatementClass::Rollback,
         Statement::Commit { .. } => refused("AND CHAIN"),
         Statement::Rollback { savepoint, .. } => match savepoint {
             Some(_) => StatementClass::Write,
@@ -65,10 +62,9 @@
         Statement::Set(set) => classify_set(set),
         Statement::Reset(reset) => match &reset.reset {
             Reset::ALL => StatementClass::DiscardAll,
-            Reset::ConfigurationParameter(name) => StatementClass::Set {
-                name: name.to_string().to_lowercase(),
-                value: None,
-            },
+            Reset::ConfigurationParameter(name) => {
+                StatementClass::Set { name: name.to_string().to_lowercase(), value: None }
+            }
             Reset::SessionAuthorization => refused("RESET SESSION AUTHORIZATION"),
         },
         Statement::Discard { object_type } => match object_type {
@@ -135,13 +131,10 @@
 
 fn classify_set(set: &Set) -> StatementClass {
     match set {
-        Set::SingleAssignment {
-            scope: Some(sqlparser::ast::ContextModifier::Local),
-            ..
-        } => StatementClass::Write,
-        Set::SingleAssignment {
-            variable, values, ..
-        } => StatementClass::Set {
+        Set::SingleAssignment { scope: Some(sqlparser::ast::ContextModifier::Local), .. } => {
+            StatementClass::Write
+        }
+        Set::SingleAssignment { variable, values, .. } => StatementClass::Set {
             name: variable.to_string().to_lowercase(),
             value: setting_value(values),
         },
@@ -184,10 +177,7 @@
 
 impl Functions {
     fn of(statement: &Statement) -> Self {
-        let mut functions = Self {
-            only_read: true,
-            refusal: None,
-        };
+        let mut functions = Self { only_read: true, refusal: None };
         if let Statement::Call(function) = statement {
             functions.note(&function.name);
         }
--- a/src/caller/extended_batch.rs
+++ b/src/caller/extended_batch.rs
@@ -76,9 +76,9 @@
     fn to_message(&self) -> Request {
         match self {
             Self::Query(sql) => Request::Query(Query::new(sql.clone())),
-            Self::Parse {
-                query, type_oids, ..
-            } => Request::Parse(Parse::new(None, query.clone(), type_oids.clone())),
+            Self::Parse { query, type_oids, .. } => {
+                Request::Parse(Parse::new(None, query.clone(), type_oids.clone()))
+            }
             Self::Bind(content) => Request::Bind(Bind::new(
                 Some(content.portal.clone()),
                 None,
--- a/src/caller/guard.rs
+++ b/src/caller/guard.rs
@@ -30,13 +30,7 @@
         workspace: Arc<str>,
         group: Arc<str>,
     ) -> Self {
-        Self {
-            snapshot,
-            standing,
-            key_id,
-            workspace,
-            group,
-        }
+        Self { snapshot, standing, key_id, workspace, group }
     }
 
     /// Returns the configuration in force.
--- a/src/caller/reply_plan.rs
+++ b/src/caller/reply_plan.rs
@@ -82,7 +82,9 @@
             (Awaited::Execute, Reply::DataRow(_)) => (true, false),
             (
                 Awaited::Execute,
-                Reply::CommandComplete(_) | Reply::EmptyQueryResponse(_) | Reply::PortalSuspended(_),
+                Reply::CommandComplete(_)
+                | Reply::EmptyQueryResponse(_)
+                | Reply::PortalSuspended(_),
             ) => (true, true),
             _ => (false, false),
         };
--- a/src/caller/request_id.rs
+++ b/src/caller/request_id.rs
@@ -50,19 +50,12 @@
 
     /// Returns SQL that notes the command tag of the work.
     pub fn finish_sql(&self, tag: &str) -> String {
-        format!(
-            "UPDATE snipehead_requests SET tag = {} WHERE {}",
-            quoted(tag),
-            self.condition()
-        )
+        format!("UPDATE snipehead_requests SET tag = {} WHERE {}", quoted(tag), self.condition())
     }
 
     /// Returns SQL that counts a repeat, so that its commit has a place after the first run's.
     pub fn repeat_sql(&self) -> String {
-        format!(
-            "UPDATE snipehead_requests SET repeats = repeats + 1 WHERE {}",
-            self.condition()
-        )
+        format!("UPDATE snipehead_requests SET repeats = repeats + 1 WHERE {}", self.condition())
     }
 
     /// Returns SQL that reads digest and tag of the first run.
@@ -71,11 +64,7 @@
     }
 
     fn condition(&self) -> String {
-        format!(
-            "workspace = {} AND request_id = {}",
-            quoted(&self.workspace),
-            quoted(&self.id)
-        )
+        format!("workspace = {} AND request_id = {}", quoted(&self.workspace), quoted(&self.id))
     }
 }
 
--- a/src/caller/request_runner.rs
+++ b/src/caller/request_runner.rs
@@ -78,10 +78,7 @@
 /// How the replies to some work ended.
 enum Answer {
     /// All replies came.
-    Complete {
-        status: Option<TransactionStatus>,
-        held: Option<Reply>,
-    },
+    Complete { status: Option<TransactionStatus>, held: Option<Reply> },
     /// The member refused the work at once; the caller has been told nothing.
     Refused(SqlError),
     /// The lane failed.
@@ -108,14 +105,7 @@
         cancel: Arc<Notify>,
         settings: SessionSettings,
     ) -> Self {
-        Self {
-            context,
-            cancel,
-            lane: None,
-            settings,
-            block: None,
-            skips_to_sync: false,
-        }
+        Self { context, cancel, lane: None, settings, block: None, skips_to_sync: false }
     }
 
     /// Returns whether a member's connection is in use.
@@ -218,10 +208,9 @@
                 Ok(Attempt::Done(status))
             }
             Answer::Refused(error) => Ok(Attempt::NotRun(error)),
-            Answer::Broken {
-                error,
-                is_forwarded,
-            } => Ok(self.judge_break(work, error, is_forwarded, may_hide)),
+            Answer::Broken { error, is_forwarded } => {
+                Ok(self.judge_break(work, error, is_forwarded, may_hide))
+            }
         }
     }
 
@@ -238,10 +227,7 @@
         let (status, held) = match self.exchange(work, wire, true).await? {
             Answer::Complete { status, held } => (status, held),
             Answer::Refused(error) => return Ok(Attempt::NotRun(error)),
-            Answer::Broken {
-                error,
-                is_forwarded,
-            } => {
+            Answer::Broken { error, is_forwarded } => {
                 return Ok(match is_forwarded {
                     true => Attempt::Failed(unknown_outcome(&error)),
                     false => Attempt::NotRun(not_run("the connection to the member was lost")),
@@ -467,10 +453,7 @@
         let holds_tags = self.block.is_none();
         let is_autocommit = self.block.is_none();
         if let Err(error) = self.lane_send(work.to_messages()).await {
-            return Ok(Answer::Broken {
-                error,
-                is_forwarded,
-            });
+            return Ok(Answer::Broken { error, is_forwarded });
         }
         if let Some(lane) = self.lane.as_mut() {
             lane.is_tainted |= work.taints;
@@ -479,10 +462,7 @@
             let reply = match self.next_reply(wire).await? {
                 Ok(reply) => reply,
                 Err(error) => {
-                    return Ok(Answer::Broken {
-                        error,
-                        is_forwarded,
-                    });
+                    return Ok(Answer::Broken { error, is_forwarded });
                 }
             };
             if self.note_commit(&reply) {
@@ -501,10 +481,7 @@
             match plan.take(&reply) {
                 Verdict::Unexpected => {
                     let error = LaneError::Lost("the member sent an unexpected reply".to_owned());
-                    return Ok(Answer::Broken {
-                        error,
-                        is_forwarded,
-                    });
+                    return Ok(Answer::Broken { error, is_forwarded });
                 }
                 Verdict::Swallow => {
                     if let Reply::ReadyForQuery(ready) = &reply {
@@ -633,7 +610,9 @@
             self.note_commit(&reply);
             match reply {
                 Reply::DataRow(row) => rows.push(text_values(&row)),
-                Reply::ErrorResponse(response) => failure = Some(SqlError::from_response(&response)),
+                Reply::ErrorResponse(response) => {
+                    failure = Some(SqlError::from_response(&response))
+                }
                 Reply::ReadyForQuery(_) => {
                     return match failure {
                         Some(error) => Err(CommandError::Sql(error)),
@@ -666,6 +645,20 @@
         }
     }
 
+    /// Adds to the end of a session what is known of the request that it cuts off.
+    pub fn qualify_end(&self, error: SqlError) -> SqlError {
+        let is_read = self.lane.as_ref().is_none_or(|lane| lane.is_replica);
+        if is_read {
+            return error;
+        }
+        let message = format!("outcome unknown: {}; the request may have run", error.message);
+        let code = match error.code.as_str() {
+            sql_state::INVALID_KEY => sql_state::INVALID_KEY,
+            _ => sql_state::UNKNOWN_OUTCOME,
+        };
+        SqlError::fatal(code, message)
+    }
+
     /// Ends the skipping of messages after an error in a batch that had no Sync yet.
     pub async fn resync(&mut self) {
         if self.block.is_none() {
--- a/src/caller/session.rs
+++ b/src/caller/session.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::SinkExt;
 use futures::StreamExt;
@@ -24,6 +25,7 @@
 use pgwire::messages::startup::BackendKeyData;
 use pgwire::messages::startup::ParameterStatus;
 use pgwire::messages::startup::SecretKey;
+use tokio::io::AsyncWriteExt;
 
 use super::classify::classify;
 use super::extended_batch::BindContent;
@@ -55,6 +57,9 @@
 /// Most prepared statements of one session.
 const MAX_PREPARED: usize = 2_000;
 
+/// Longest wait for a caller to close after a last message.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
 /// Classified texts that a session remembers.
 const MAX_CLASSIFIED: usize = 64;
 
@@ -101,13 +106,7 @@
 impl CallerSession {
     /// Serves an admitted caller until it leaves or must leave.
     pub async fn serve(context: Arc<TrafficContext>, caller: AdmittedCaller) {
-        let AdmittedCaller {
-            mut wire,
-            workspace,
-            key_id,
-            group,
-            options,
-        } = caller;
+        let AdmittedCaller { mut wire, workspace, key_id, group, options } = caller;
         let (cancel_key, cancel) = context.cancels.add();
         let guard = SessionGuard::new(
             context.snapshot.clone(),
@@ -131,10 +130,10 @@
             Ok(()) => session.serve_messages(&mut wire, guard).await,
             Err(end) => end,
         };
+        context.cancels.remove(cancel_key);
         if let SessionEnd::Fatal(error) = ended {
-            let _ = wire.send(error.into_message()).await;
+            let _ = tokio::time::timeout(LINGER_TIME, say_last(wire, error)).await;
         }
-        context.cancels.remove(cancel_key);
     }
 
     async fn greet(
@@ -181,7 +180,9 @@
             let mut watching = guard.clone();
             let handled = tokio::select! {
                 handled = self.handle(message, wire) => handled,
-                error = watching.ended() => Err(SessionEnd::Fatal(error)),
+                error = watching.ended() => {
+                    Err(SessionEnd::Fatal(self.runner.qualify_end(error)))
+                }
             };
             if let Err(end) = handled {
                 self.runner.drop_lane();
@@ -613,10 +614,7 @@
         if !self.is_local_statement(&prepared) {
             work.add_needs(&prepared.class);
             work.statements += 1;
-            work.items.push(WorkItem::Execute {
-                portal: name,
-                max_rows: execute.max_rows,
-            });
+            work.items.push(WorkItem::Execute { portal: name, max_rows: execute.max_rows });
             return Ok(());
         }
         self.run_segment(work, wire, WorkItem::Flush).await?;
@@ -686,6 +684,18 @@
     }
 }
 
+/// Sends a last message and waits for the caller to close.
+///
+/// Closing while a request of the caller's is unread would reset the connection, and the caller
+/// might never see the message.
+async fn say_last(mut wire: CallerWire, error: SqlError) {
+    if wire.send(error.into_message()).await.is_err() {
+        return;
+    }
+    let _ = wire.get_mut().shutdown().await;
+    while let Some(Ok(_)) = wire.next().await {}
+}
+
 fn parse_item(prepared: &Prepared, is_added: bool) -> WorkItem {
     WorkItem::Parse {
         query: prepared.query.clone(),
@@ -699,7 +709,6 @@
 }
 
 fn in_failed_block() -> SqlError {
-    let message =
-        "current transaction is aborted, commands ignored until end of transaction block";
+    let message = "current transaction is aborted, commands ignored until end of transaction block";
     SqlError::new(sql_state::IN_FAILED_TRANSACTION, message)
 }
--- a/src/caller/session_settings.rs
+++ b/src/caller/session_settings.rs
@@ -56,11 +56,7 @@
 impl SessionSettings {
     /// Creates the settings of a new session.
     pub fn new(workspace: Arc<str>, group: Arc<str>) -> Self {
-        Self {
-            workspace,
-            group,
-            ..Self::default()
-        }
+        Self { workspace, group, ..Self::default() }
     }
 
     /// Returns the place up to which the session has written in its group.
--- a/src/caller/statement_class.rs
+++ b/src/caller/statement_class.rs
@@ -41,10 +41,7 @@
 impl StatementClass {
     /// Returns whether the daemon answers the statement itself.
     pub fn is_local(&self) -> bool {
-        matches!(
-            self,
-            Self::Begin { .. } | Self::Set { .. } | Self::Show { .. } | Self::DiscardAll
-        )
+        matches!(self, Self::Begin { .. } | Self::Set { .. } | Self::Show { .. } | Self::DiscardAll)
     }
 
     /// Returns whether the statement opens or ends a transaction block.
--- a/src/caller/token.rs
+++ b/src/caller/token.rs
@@ -27,9 +27,7 @@
 impl TokenSigner {
     /// Creates a signer.
     pub fn new(secret: &str) -> Self {
-        Self {
-            secret: secret.as_bytes().to_vec(),
-        }
+        Self { secret: secret.as_bytes().to_vec() }
     }
 
     /// Returns the text of a token.
--- a/src/caller/transaction_block.rs
+++ b/src/caller/transaction_block.rs
@@ -23,13 +23,7 @@
 impl TransactionBlock {
     /// Creates a block that no member knows of yet.
     pub fn new(begin_sql: String, is_read_only: bool) -> Self {
-        Self {
-            begin_sql,
-            is_read_only,
-            is_started: false,
-            is_failed: false,
-            has_run: false,
-        }
+        Self { begin_sql, is_read_only, is_started: false, is_failed: false, has_run: false }
     }
 
     /// Creates a block that the member opened within a longer text.
--- a/src/chart.rs
+++ b/src/chart.rs
@@ -99,10 +99,7 @@
     /// Returns what is wrong with the chart.
     pub fn start(text: &str) -> Result<Self, Vec<Finding>> {
         let chart = Chart::parse(text)?;
-        Ok(Self {
-            state: chart.initial.clone(),
-            chart,
-        })
+        Ok(Self { state: chart.initial.clone(), chart })
     }
 
     /// Returns the present state.
--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -62,10 +62,7 @@
             let secret = find_secret(arguments.secret_file.as_deref())?;
             let client = connect(&address, &secret)?;
             let who = arguments.who.or_else(|| std::env::var("USER").ok());
-            let operator = Operator {
-                client,
-                who: who.unwrap_or_else(|| "unknown".to_owned()),
-            };
+            let operator = Operator { client, who: who.unwrap_or_else(|| "unknown".to_owned()) };
             operator.run(command).await
         }
     }
@@ -148,9 +145,7 @@
                 println!("key: {text}");
             }
             KeyCommand::Withdraw(withdraw) => {
-                let operation = Operation::WithdrawKey {
-                    key_id: withdraw.key_id,
-                };
+                let operation = Operation::WithdrawKey { key_id: withdraw.key_id };
                 print_receipt(&self.change(operation, None, withdraw.why).await?);
             }
             KeyCommand::List(_) => {
@@ -166,16 +161,12 @@
     async fn zone(&self, command: ZoneCommand) -> Result<(), String> {
         let (operation, why) = match command {
             ZoneCommand::Out(out) => {
-                let operation = Operation::DataCentreOut {
-                    data_centre: out.data_centre,
-                    is_forced: out.force,
-                };
+                let operation =
+                    Operation::DataCentreOut { data_centre: out.data_centre, is_forced: out.force };
                 (operation, out.why)
             }
             ZoneCommand::In(back) => {
-                let operation = Operation::DataCentreIn {
-                    data_centre: back.data_centre,
-                };
+                let operation = Operation::DataCentreIn { data_centre: back.data_centre };
                 (operation, back.why)
             }
         };
@@ -186,17 +177,12 @@
     async fn backend(&self, command: BackendCommand) -> Result<(), String> {
         let (operation, why) = match command {
             BackendCommand::Leave(leave) => {
-                let operation = Operation::MemberLeaves {
-                    group: leave.group,
-                    member: leave.member,
-                };
+                let operation =
+                    Operation::MemberLeaves { group: leave.group, member: leave.member };
                 (operation, leave.why)
             }
             BackendCommand::Return(back) => {
-                let operation = Operation::MemberReturns {
-                    group: back.group,
-                    member: back.member,
-                };
+                let operation = Operation::MemberReturns { group: back.group, member: back.member };
                 (operation, back.why)
             }
         };
@@ -249,12 +235,7 @@
         expected_version: Option<u64>,
         why: String,
     ) -> Result<ChangeReceipt, String> {
-        let request = ChangeRequest {
-            operation,
-            expected_version,
-            who: self.who.clone(),
-            why,
-        };
+        let request = ChangeRequest { operation, expected_version, who: self.who.clone(), why };
         self.client.change(request).await.map_err(explain)
     }
 }
--- a/src/client/demo.rs
+++ b/src/client/demo.rs
@@ -35,8 +35,7 @@
     /// Returns a sentence when a part cannot start or does not get ready in time.
     pub async fn start(plan: DeploymentPlan, port: u16) -> Result<Self, String> {
         let workspaces = plan.workspaces.clone();
-        let mut deployment =
-            Deployment::start(plan).await.map_err(|error| error.to_string())?;
+        let mut deployment = Deployment::start(plan).await.map_err(|error| error.to_string())?;
         if port != 0 {
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
             if let Some(first) = deployment.hosts.values_mut().next() {
@@ -49,11 +48,7 @@
                 .map_err(|findings| join(&findings))?;
             daemons.push(Daemon::start(settings).await.map_err(|error| error.to_string())?);
         }
-        let mut embedded = Self {
-            deployment,
-            daemons,
-            keys: Vec::new(),
-        };
+        let mut embedded = Self { deployment, daemons, keys: Vec::new() };
         embedded.configure(&workspaces).await?;
         embedded.await_ready().await?;
         Ok(embedded)
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -19,6 +19,9 @@
 /// Time between two exchanges with the same peer, in milliseconds.
 pub const EXCHANGE_INTERVAL_MS: u64 = 500;
 
+/// Least time between two exchanges for a demand that this daemon's shares do not carry.
+const URGENT_INTERVAL_MS: u64 = 100;
+
 /// Time between two reads of the table, in milliseconds.
 pub const TABLE_INTERVAL_MS: u64 = 1_000;
 
@@ -158,10 +161,7 @@
         let mut actions = Vec::new();
         match event {
             Event::Tick => self.tick(now_ms, &mut actions),
-            Event::TableRead {
-                asked_at_ms,
-                changes,
-            } => {
+            Event::TableRead { asked_at_ms, changes } => {
                 self.take_changes(changes, &mut actions);
                 self.standing.note_table(asked_at_ms);
                 self.table_heard_at_ms = self.table_heard_at_ms.max(Some(asked_at_ms));
@@ -170,15 +170,12 @@
                 self.take_changes(vec![change], &mut actions);
                 self.exchange_with_all(now_ms, &mut actions);
             }
-            Event::Answered {
-                peer,
-                asked_at_ms,
-                answer,
-            } => self.take_answer(now_ms, &peer, asked_at_ms, *answer, &mut actions),
-            Event::Demand {
-                workspace,
-                demand_per_s,
-            } => self.ledger.note_demand(&workspace, demand_per_s),
+            Event::Answered { peer, asked_at_ms, answer } => {
+                self.take_answer(now_ms, &peer, asked_at_ms, *answer, &mut actions)
+            }
+            Event::Demand { workspace, demand_per_s } => {
+                self.ledger.note_demand(&workspace, demand_per_s)
+            }
             Event::Unreached(groups) => self.unreached = groups,
             Event::Leave => {
                 self.is_leaving = true;
@@ -228,19 +225,32 @@
     fn tick(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         if now_ms.saturating_sub(self.table_asked_at_ms) >= TABLE_INTERVAL_MS {
             self.table_asked_at_ms = now_ms;
-            actions.push(Action::ReadTable {
-                after_version: self.fleet.version,
-            });
+            actions.push(Action::ReadTable { after_version: self.fleet.version });
         }
+        let interval_ms = match self.lacks_share() {
+            true => URGENT_INTERVAL_MS,
+            false => EXCHANGE_INTERVAL_MS,
+        };
         for peer in self.other_hosts() {
             let asked_at_ms = self.peers.get(&peer).map_or(0, |peer| peer.asked_at_ms);
-            if now_ms.saturating_sub(asked_at_ms) >= EXCHANGE_INTERVAL_MS {
+            if now_ms.saturating_sub(asked_at_ms) >= interval_ms {
                 self.exchange(now_ms, peer, actions);
             }
         }
         self.propose(now_ms, actions);
     }
 
+    /// Returns whether callers ask for more of a rate than this daemon's part, and others may
+    /// have some to give.
+    fn lacks_share(&self) -> bool {
+        let demands = self.ledger.demands(|name| self.rate_of(name));
+        demands.iter().any(|demand| demand.share_ppm < WHOLE_PPM / 2)
+    }
+
+    fn rate_of(&self, workspace: &str) -> f64 {
+        self.fleet.limits_of_workspace(workspace).rate_per_s as f64
+    }
+
     fn exchange_with_all(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         for peer in self.other_hosts() {
             self.exchange(now_ms, peer, actions);
@@ -249,21 +259,16 @@
 
     fn exchange(&mut self, now_ms: u64, peer: String, actions: &mut Vec<Action>) {
         self.peers.entry(peer.clone()).or_default().asked_at_ms = now_ms;
-        let fleet = self.fleet.clone();
-        let rate_of = |workspace: &str| fleet.limits_of_workspace(workspace).rate_per_s as f64;
         let request = ExchangeRequest {
             from: self.host.clone(),
             incarnation: self.incarnation,
             version: self.fleet.version,
             is_leaving: self.is_leaving,
             generation: self.ledger.generation(),
-            demands: self.ledger.demands(rate_of),
+            demands: self.ledger.demands(|name| self.rate_of(name)),
             unreached: self.unreached.clone(),
         };
-        actions.push(Action::Exchange {
-            peer,
-            request: Box::new(request),
-        });
+        actions.push(Action::Exchange { peer, request: Box::new(request) });
     }
 
     fn take_answer(
@@ -350,15 +355,12 @@
         let is_change = live != self.fleet.generation.hosts;
         // The first live host proposes; a host that is missing proposes itself.
         let is_first = live.keys().next() == Some(&self.host);
-        let is_missing = !self.is_leaving
-            && !self.fleet.generation.includes(&self.host, self.incarnation);
+        let is_missing =
+            !self.is_leaving && !self.fleet.generation.includes(&self.host, self.incarnation);
         let speaks = is_first || is_missing || self.is_leaving;
         if is_change && speaks && !live.is_empty() {
             self.proposed_at_ms = now_ms;
-            actions.push(Action::ProposeGeneration {
-                hosts: live,
-                version: self.fleet.version,
-            });
+            actions.push(Action::ProposeGeneration { hosts: live, version: self.fleet.version });
         }
     }
 
@@ -366,8 +368,8 @@
     fn live_hosts(&self, now_ms: u64) -> BTreeMap<String, u64> {
         let is_live = |name: &String| {
             let peer = self.peers.get(name)?;
-            let is_heard = peer.heard_at_ms > 0
-                && now_ms.saturating_sub(peer.heard_at_ms) < DEAD_AFTER_MS;
+            let is_heard =
+                peer.heard_at_ms > 0 && now_ms.saturating_sub(peer.heard_at_ms) < DEAD_AFTER_MS;
             (is_heard && !peer.is_leaving).then(|| (name.clone(), peer.incarnation))
         };
         let mut live: BTreeMap<String, u64> =
--- a/src/control/daemon_life.rs
+++ b/src/control/daemon_life.rs
@@ -18,8 +18,8 @@
     pub is_stop_asked: bool,
     /// Connections of callers.
     pub sessions: usize,
-    /// Whether the daemon is a home of a group, or lends a connection.
-    pub has_homes: bool,
+    /// Connections that other daemons have borrowed.
+    pub lent: usize,
 }
 
 /// What a daemon does at a step of its life.
@@ -31,7 +31,7 @@
     LeaveGeneration,
     /// Close idle sessions, and each other one when its transaction ends.
     CloseIdle,
-    /// Give up the groups' connections.
+    /// Lend no further connections to other daemons.
     CloseHomes,
     /// End the process.
     Exit,
@@ -99,7 +99,7 @@
         }
         if situation.sessions == 0 {
             events.push("sessions_ended");
-            if !situation.has_homes {
+            if situation.lent == 0 {
                 events.push("relays_ended");
             }
         }
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -48,7 +48,7 @@
 const TICK: Duration = Duration::from_millis(50);
 
 /// Ticks between two measurements of demand.
-const DEMAND_TICKS: u64 = 5;
+const DEMAND_TICKS: u64 = 2;
 
 /// How long a change waits for a majority of the daemons.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -183,6 +183,7 @@
     life: RefCell<DaemonLife>,
     is_stop_asked: RefCell<bool>,
     closes_idle: RefCell<bool>,
+    lends: RefCell<bool>,
     demanded: RefCell<BTreeMap<String, u64>>,
     proposing: RefCell<bool>,
 }
@@ -229,6 +230,7 @@
             life: RefCell::new(life),
             is_stop_asked: RefCell::new(false),
             closes_idle: RefCell::new(false),
+            lends: RefCell::new(true),
             demanded: RefCell::new(BTreeMap::new()),
             proposing: RefCell::new(false),
         })
@@ -301,10 +303,7 @@
             let is_end = more.len() < READ_LIMIT;
             changes.extend(more);
             if is_end {
-                let _ = self.events.send(Event::TableRead {
-                    asked_at_ms,
-                    changes,
-                });
+                let _ = self.events.send(Event::TableRead { asked_at_ms, changes });
                 return;
             }
         }
@@ -325,11 +324,8 @@
             client.exchange(context, request).await
         };
         if let Some(Some(answer)) = self.parts.peers.call(address, call).await {
-            let _ = self.events.send(Event::Answered {
-                peer,
-                asked_at_ms,
-                answer: Box::new(answer),
-            });
+            let _ =
+                self.events.send(Event::Answered { peer, asked_at_ms, answer: Box::new(answer) });
         }
     }
 
@@ -450,12 +446,13 @@
         };
         self.homes.borrow_mut().apply(&fleet, &slots);
         self.renew_failovers();
-        self.parts.relay.set_homes(self.homes.borrow().homes().clone());
-        let is_out = fleet.is_host_out(&self.parts.settings.name);
-        let snapshot = Snapshot {
-            fleet,
-            closes_idle: *self.closes_idle.borrow() || is_out,
+        let lendable = match *self.lends.borrow() {
+            true => self.homes.borrow().homes().clone(),
+            false => HashMap::new(),
         };
+        self.parts.relay.set_homes(lendable);
+        let is_out = fleet.is_host_out(&self.parts.settings.name);
+        let snapshot = Snapshot { fleet, closes_idle: *self.closes_idle.borrow() || is_out };
         self.parts.publisher.send_replace(Arc::new(snapshot));
     }
 
@@ -498,19 +495,15 @@
             let total = limiter.meter.demanded();
             let before = self.demanded.borrow_mut().insert(name.to_string(), total).unwrap_or(0);
             let demand_per_s = total.saturating_sub(before) as f64 / interval_s;
-            let event = Event::Demand {
-                workspace: name.to_string(),
-                demand_per_s,
-            };
+            let event = Event::Demand { workspace: name.to_string(), demand_per_s };
             self.clone().step(event);
         }
     }
 
     fn note_unreached(self: Rc<Self>) {
         let homes = self.homes.borrow();
-        let is_unreached = |home: &crate::group::group_home::GroupHome| {
-            home.prober().view().primary().is_none()
-        };
+        let is_unreached =
+            |home: &crate::group::group_home::GroupHome| home.prober().view().primary().is_none();
         let unreached: Vec<String> = homes
             .homes()
             .iter()
@@ -527,7 +520,7 @@
             is_standing: self.parts.traffic.standing.is_standing(),
             is_stop_asked: *self.is_stop_asked.borrow(),
             sessions: self.parts.traffic.sessions.len(),
-            has_homes: !self.homes.borrow().homes().is_empty() || self.parts.relay.lent() > 0,
+            lent: self.parts.relay.lent(),
         };
         let actions = self.life.borrow_mut().step(&situation);
         for action in actions {
@@ -540,7 +533,10 @@
                     self.closes_idle.replace(true);
                     self.clone().publish();
                 }
-                LifeAction::CloseHomes => {}
+                LifeAction::CloseHomes => {
+                    self.lends.replace(false);
+                    self.clone().publish();
+                }
                 LifeAction::Exit => self.parts.stop.cancel(),
             }
         }
@@ -612,7 +608,8 @@
                 continue;
             };
             let (group, member) = (group.clone(), member.clone());
-            let call = |client: crate::peer::rpc::PeerRpcClient, mut context: tarpc::context::Context| {
+            let call = |client: crate::peer::rpc::PeerRpcClient,
+                        mut context: tarpc::context::Context| {
                 context.deadline = std::time::Instant::now() + MOVE_TIMEOUT;
                 async move { client.move_primary(context, group, member).await }
             };
@@ -680,7 +677,8 @@
     let view = driver.home().prober().view();
     let options = driver.home().options();
     let usage = driver.home().usage();
-    let last = (0..view.len()).filter_map(|index| view.status(index)).map(|status| status.held).max();
+    let last =
+        (0..view.len()).filter_map(|index| view.status(index)).map(|status| status.held).max();
     let last = last.unwrap_or_default();
     let fleet = core.fleet();
     let data_centre = |member: &str| {
--- a/src/control/failover.rs
+++ b/src/control/failover.rs
@@ -235,10 +235,8 @@
                     self.term = view.highest_term().max(self.term) + 1;
                     actions.push(FailoverAction::AskTerms { term: self.term });
                 }
-                "promote" => actions.extend(best.map(|member| FailoverAction::Promote {
-                    member,
-                    term: self.term,
-                })),
+                "promote" => actions
+                    .extend(best.map(|member| FailoverAction::Promote { member, term: self.term })),
                 "step_down" => {
                     self.stepping_down = view.primary();
                     actions.extend(view.primary().map(|member| FailoverAction::StepDown {
--- a/src/control/failover_driver.rs
+++ b/src/control/failover_driver.rs
@@ -149,11 +149,7 @@
     async fn step_down(&self, member: usize, term: u64) -> FailoverOutcome {
         log::info!(event = "step_down_asked", group = self.group, member = member, term = term; "");
         let granted = self.home.prober().member(member).step_down(term).await;
-        let Ok(Grant {
-            is_granted: true,
-            status,
-        }) = granted
-        else {
+        let Ok(Grant { is_granted: true, status }) = granted else {
             return FailoverOutcome::StepDownRefused;
         };
         let leaving = self.leaving();
--- a/src/control/home_manager.rs
+++ b/src/control/home_manager.rs
@@ -40,13 +40,7 @@
         traffic: Arc<TrafficContext>,
         runtime: tokio::runtime::Handle,
     ) -> Self {
-        Self {
-            settings,
-            traffic,
-            runtime,
-            homes: HashMap::new(),
-            relays: HashMap::new(),
-        }
+        Self { settings, traffic, runtime, homes: HashMap::new(), relays: HashMap::new() }
     }
 
     /// Returns the running homes.
@@ -117,9 +111,10 @@
         // Homes in the data centre of this daemon come first.
         homes.sort_by_key(|home| fleet.data_centre_of_host(home) != self.settings.data_centre);
         let addresses: Vec<SocketAddr> = homes.iter().filter_map(address).collect();
-        let relay = self.relays.entry(group.to_owned()).or_insert_with(|| {
-            Arc::new(RelayAccess::new(group, &self.settings.shared_secret))
-        });
+        let relay = self
+            .relays
+            .entry(group.to_owned())
+            .or_insert_with(|| Arc::new(RelayAccess::new(group, &self.settings.shared_secret)));
         relay.set_homes(addresses);
         relay.clone()
     }
--- a/src/control/operate.rs
+++ b/src/control/operate.rs
@@ -67,10 +67,9 @@
                 formatter,
                 "not done: {who} came first with version {version} ({what}); look at it and try again"
             ),
-            Self::TableUnavailable(reason) => write!(
-                formatter,
-                "outcome unknown: {reason}; see the history before trying again"
-            ),
+            Self::TableUnavailable(reason) => {
+                write!(formatter, "outcome unknown: {reason}; see the history before trying again")
+            }
         }
     }
 }
--- a/src/control/share_ledger.rs
+++ b/src/control/share_ledger.rs
@@ -159,10 +159,7 @@
             let share_ppm = spare_ppm.min(lacking_ppm);
             if share_ppm > 0 {
                 share.held_ppm -= share_ppm;
-                gifts.push(Gift {
-                    workspace: demand.workspace.clone(),
-                    share_ppm,
-                });
+                gifts.push(Gift { workspace: demand.workspace.clone(), share_ppm });
             }
         }
         gifts
--- a/src/fleet/homes.rs
+++ b/src/fleet/homes.rs
@@ -16,9 +16,8 @@
     let wanted = fleet.limits_of_group(group).homes_per_group as usize;
     let mut ranked: Vec<&String> = fleet.generation.hosts.keys().collect();
     ranked.sort_by_key(|host| Reverse(score(group, host)));
-    let (serving, out): (Vec<_>, Vec<_>) = ranked
-        .into_iter()
-        .partition(|host| !fleet.is_host_out(host));
+    let (serving, out): (Vec<_>, Vec<_>) =
+        ranked.into_iter().partition(|host| !fleet.is_host_out(host));
     let candidates = if serving.is_empty() { out } else { serving };
     spread(fleet, candidates, wanted)
 }
@@ -30,8 +29,7 @@
 
 fn spread(fleet: &Fleet, candidates: Vec<&String>, wanted: usize) -> Vec<String> {
     let mut seen = BTreeSet::new();
-    let (first, rest): (Vec<_>, Vec<_>) = candidates
-        .into_iter()
-        .partition(|host| seen.insert(fleet.data_centre_of_host(host)));
+    let (first, rest): (Vec<_>, Vec<_>) =
+        candidates.into_iter().partition(|host| seen.insert(fleet.data_centre_of_host(host)));
     first.into_iter().chain(rest).take(wanted).cloned().collect()
 }
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -68,7 +68,11 @@
         match operation {
             Operation::ApplyDocument { document } => check_document(document),
             Operation::IssueKey { key } => {
-                self.require(self.workspace(&key.workspace).is_some(), "workspace", &key.workspace)?;
+                self.require(
+                    self.workspace(&key.workspace).is_some(),
+                    "workspace",
+                    &key.workspace,
+                )?;
                 let is_new = !self.keys.contains_key(&key.key_id);
                 match is_new {
                     true => Ok(()),
@@ -78,10 +82,7 @@
             Operation::WithdrawKey { key_id } => {
                 self.require(self.keys.contains_key(key_id), "key_id", key_id)
             }
-            Operation::DataCentreOut {
-                data_centre,
-                is_forced,
-            } => {
+            Operation::DataCentreOut { data_centre, is_forced } => {
                 self.require(self.has_data_centre(data_centre), "data_centre", data_centre)?;
                 match is_forced {
                     true => Ok(()),
@@ -94,10 +95,8 @@
             Operation::MemberLeaves { group, member }
             | Operation::MemberReturns { group, member } => {
                 let members = self.group(group).map(|group| group.members.as_slice());
-                let is_known = members
-                    .unwrap_or_default()
-                    .iter()
-                    .any(|known| known.name == *member);
+                let is_known =
+                    members.unwrap_or_default().iter().any(|known| known.name == *member);
                 self.require(is_known, "member", &format!("{group}/{member}"))
             }
             Operation::StartGeneration { hosts } => {
@@ -166,10 +165,7 @@
                 self.members_leaving.remove(&(group.clone(), member.clone()));
             }
             Operation::StartGeneration { hosts } => {
-                self.generation = Generation {
-                    number: change.version,
-                    hosts: hosts.clone(),
-                };
+                self.generation = Generation { number: change.version, hosts: hosts.clone() };
             }
         }
     }
--- a/src/group/fair_queue.rs
+++ b/src/group/fair_queue.rs
@@ -19,11 +19,7 @@
 
 impl<Item> Default for FairQueue<Item> {
     fn default() -> Self {
-        Self {
-            waiting: BTreeMap::new(),
-            used_us: BTreeMap::new(),
-            floor_us: 0,
-        }
+        Self { waiting: BTreeMap::new(), used_us: BTreeMap::new(), floor_us: 0 }
     }
 }
 
--- a/src/group/group_home.rs
+++ b/src/group/group_home.rs
@@ -28,6 +28,9 @@
 /// How long a member is left alone after a connection to it failed.
 const AVOID_TIME: Duration = Duration::from_millis(200);
 
+/// Longest wait for a member to tell whether its readers see a place in the log.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Longest pause before the view is looked at again while no member fits.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -122,7 +125,12 @@
     }
 
     /// Chooses the member for a request, or none while no member fits.
-    fn choose(&self, request: &LaneRequest, floor: LogPosition, skipped: &[bool]) -> Option<Target> {
+    fn choose(
+        &self,
+        request: &LaneRequest,
+        floor: LogPosition,
+        skipped: &[bool],
+    ) -> Option<Target> {
         let view = self.prober.view();
         let options = self.options();
         if request.may_use_replica {
@@ -132,10 +140,7 @@
             }
         }
         let primary = view.primary()?;
-        (!self.is_avoided(primary)).then_some(Target {
-            member: primary,
-            is_replica: false,
-        })
+        (!self.is_avoided(primary)).then_some(Target { member: primary, is_replica: false })
     }
 
     /// Chooses the replica with the least work among those that show the floor.
@@ -160,10 +165,7 @@
         };
         let members = (0..view.len()).filter(fits);
         let member = members.min_by_key(|member| in_flight[*member])?;
-        Some(Target {
-            member,
-            is_replica: true,
-        })
+        Some(Target { member, is_replica: true })
     }
 
     fn is_avoided(&self, member: usize) -> bool {
@@ -203,18 +205,13 @@
     }
 
     fn no_capacity(&self) -> SqlError {
-        let message = format!(
-            "not run: no connection to group {} came free in time",
-            self.name
-        );
+        let message = format!("not run: no connection to group {} came free in time", self.name);
         SqlError::new(sql_state::NO_CAPACITY, message).with_hint("Try again in 1 s.")
     }
 
     fn no_member(&self) -> SqlError {
-        let message = format!(
-            "not run: no member of group {} could take the request in time",
-            self.name
-        );
+        let message =
+            format!("not run: no member of group {} could take the request in time", self.name);
         SqlError::new(sql_state::NOT_RUN, message).with_hint("Try again in 1 s.")
     }
 
@@ -268,8 +265,10 @@
                 home.wait_for_change(deadline).await;
                 continue;
             };
-            match connection.reaches(floor).await {
-                Ok(true) => {
+            let checking = connection.reaches(floor);
+            let checked = tokio::time::timeout(left().min(CHECK_TIMEOUT), checking).await;
+            match checked {
+                Ok(Ok(true)) => {
                     let lane = MemberLane::new(
                         home.clone(),
                         target.member,
@@ -283,7 +282,7 @@
                         is_replica: target.is_replica,
                     });
                 }
-                Ok(false) => {
+                Ok(Ok(false)) => {
                     skipped[target.member] = target.is_replica;
                     home.pool.keep_idle(target.member, connection);
                     drop(slot);
@@ -291,7 +290,7 @@
                         home.wait_for_change(deadline).await;
                     }
                 }
-                Err(_) => home.avoid(target.member),
+                _ => home.avoid(target.member),
             }
         }
     }
--- a/src/group/member_connection.rs
+++ b/src/group/member_connection.rs
@@ -67,10 +67,7 @@
             .await
             .map_err(|_| unreachable("connecting took too long"))?
             .map_err(|error| unreachable(&error.to_string()))?;
-        Ok(Self {
-            client,
-            reached: LogPosition::default(),
-        })
+        Ok(Self { client, reached: LogPosition::default() })
     }
 
     /// Sends messages at once.
--- a/src/group/prober.rs
+++ b/src/group/prober.rs
@@ -182,7 +182,8 @@
                 return found;
             }
             self.want_next();
-            let woken = tokio::time::timeout(pause.max(Duration::from_millis(1)), changes.changed());
+            let woken =
+                tokio::time::timeout(pause.max(Duration::from_millis(1)), changes.changed());
             if woken.await.is_ok() {
                 if let Some(found) = condition(&self.lock()) {
                     return found;
@@ -204,14 +205,9 @@
             {
                 let mut quorum = self.lock();
                 match answer {
-                    Ok(status) => quorum.observe(
-                        member,
-                        Observation {
-                            asked_at_ms,
-                            sequence,
-                            status,
-                        },
-                    ),
+                    Ok(status) => {
+                        quorum.observe(member, Observation { asked_at_ms, sequence, status })
+                    }
                     Err(_) => quorum.observe_silence(member),
                 }
                 if let Some(floor) = quorum.floor(sequence) {
--- a/src/group/quorum.rs
+++ b/src/group/quorum.rs
@@ -35,10 +35,7 @@
 impl Quorum {
     /// Creates a view of a group with that many members.
     pub fn new(members: usize) -> Self {
-        Self {
-            observations: vec![None; members],
-            unreachable: vec![true; members],
-        }
+        Self { observations: vec![None; members], unreachable: vec![true; members] }
     }
 
     /// Returns the least number of members that is a majority.
--- a/src/group/slot_pool.rs
+++ b/src/group/slot_pool.rs
@@ -150,11 +150,7 @@
     }
 
     fn new_slot(self: &Arc<Self>, workspace: &Name) -> Slot {
-        Slot {
-            pool: self.clone(),
-            workspace: workspace.clone(),
-            taken_at: Instant::now(),
-        }
+        Slot { pool: self.clone(), workspace: workspace.clone(), taken_at: Instant::now() }
     }
 
     /// Hands free slots to those who wait.
--- a/src/group/sql_member_control.rs
+++ b/src/group/sql_member_control.rs
@@ -28,10 +28,7 @@
 impl SqlMemberControl {
     /// Creates the control of a member.
     pub fn new(target: MemberAddress) -> Self {
-        Self {
-            target,
-            connection: Mutex::new(None),
-        }
+        Self { target, connection: Mutex::new(None) }
     }
 
     async fn call(&self, sql: String, timeout: Duration) -> Result<Grant, MemberError> {
--- a/src/limit/rate_limiter.rs
+++ b/src/limit/rate_limiter.rs
@@ -66,10 +66,7 @@
 impl RateLimiter {
     /// Creates a limiter that admits nothing.
     pub fn new(standing: Arc<StandingClock>) -> Self {
-        Self {
-            workspaces: ArcSwap::default(),
-            standing,
-        }
+        Self { workspaces: ArcSwap::default(), standing }
     }
 
     /// Sets what the daemon may spend from now on.
--- a/src/limit/token_bucket.rs
+++ b/src/limit/token_bucket.rs
@@ -12,12 +12,7 @@
 impl TokenBucket {
     /// Creates an empty bucket with no rate.
     pub fn new(now_ms: u64) -> Self {
-        Self {
-            rate_per_s: 0.0,
-            burst: 0.0,
-            level: 0.0,
-            updated_at_ms: now_ms,
-        }
+        Self { rate_per_s: 0.0, burst: 0.0, level: 0.0, updated_at_ms: now_ms }
     }
 
     /// Changes rate and burst. Tokens beyond the new burst are lost, and none are made.
--- a/src/limit/workspace_meter.rs
+++ b/src/limit/workspace_meter.rs
@@ -51,7 +51,9 @@
             failed: AtomicU64::new(0),
             replica_reads: AtomicU64::new(0),
             reads: AtomicU64::new(0),
-            latency_us: Mutex::new(histogram.unwrap_or_else(|_| Histogram::new(2).expect("2 digits"))),
+            latency_us: Mutex::new(
+                histogram.unwrap_or_else(|_| Histogram::new(2).expect("2 digits")),
+            ),
         }
     }
 }
--- a/src/load/command.rs
+++ b/src/load/command.rs
@@ -1,12 +1,224 @@
 //! The load command.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::plot::write_plot;
+use super::runner::LoadShape;
+use super::runner::Target;
+use super::runner::WorkspaceFigures;
+use super::runner::run_workspace;
 use crate::client::arguments::Load;
+use crate::client::demo::EmbeddedDeployment;
+use crate::stand_in::deployment::DeploymentPlan;
+
+/// Table that the load writes to.
+pub const TABLE: &str = "snipehead_load";
+
+/// Rate of a deployment that the load starts itself, so that it measures the system's speed.
+const OPEN_RATE: u64 = 1_000_000;
+
+/// Results of a load.
+#[derive(Debug, Serialize)]
+struct Report {
+    seed: u64,
+    seconds: u64,
+    runs: Vec<RunFigures>,
+    idle: Option<IdleFigures>,
+}
+
+#[derive(Debug, Serialize)]
+struct RunFigures {
+    name: String,
+    workspaces: Vec<WorkspaceFigures>,
+}
+
+#[derive(Debug, Serialize)]
+struct IdleFigures {
+    connections: usize,
+    resident_before_kib: u64,
+    resident_kib: u64,
+}
 
 /// Runs a load.
 ///
 /// # Errors
 ///
 /// Returns a sentence when it cannot run.
-pub async fn run(_load: Load) -> Result<(), String> {
-    Err("not there yet".to_owned())
+pub async fn run(load: Load) -> Result<(), String> {
+    let embedded = match load.to {
+        Some(_) => None,
+        None => Some(start_deployment().await?),
+    };
+    let targets = match &embedded {
+        Some(embedded) => embedded_targets(embedded),
+        None => given_targets(&load)?,
+    };
+    let shape = LoadShape {
+        connections: load.connections,
+        duration: Duration::from_secs(load.seconds),
+        rate_per_s: load.rate,
+        write_percent: load.write_percent,
+        seed: load.seed,
+    };
+    let mut runs = Vec::new();
+    if load.side_by_side {
+        let direct =
+            embedded.as_ref().map(direct_target).ok_or("give no --to with --side-by-side")?;
+        runs.push(measure("direct", vec![direct], &shape).await?);
+    }
+    runs.push(measure("through daemons", targets.clone(), &shape).await?);
+    let idle = match (load.idle, targets.first()) {
+        (0, _) | (_, None) => None,
+        (count, Some(target)) => Some(hold_idle(target, count).await?),
+    };
+    if let Some(file) = &load.plot {
+        let last = runs.last().map(|run| run.workspaces.as_slice()).unwrap_or_default();
+        write_plot(file, last).map_err(|error| error.to_string())?;
+    }
+    let report = Report { seed: load.seed, seconds: load.seconds, runs, idle };
+    print_report(&report, load.json)?;
+    if let Some(embedded) = embedded {
+        embedded.stop().await;
+    }
+    Ok(())
+}
+
+async fn start_deployment() -> Result<EmbeddedDeployment, String> {
+    let defaults = serde_json::json!({
+        "rate_per_s": OPEN_RATE, "burst": OPEN_RATE, "connections_per_group": 40
+    });
+    let plan = DeploymentPlan { defaults, ..DeploymentPlan::small() };
+    EmbeddedDeployment::start(plan, 0).await
+}
+
+fn embedded_targets(embedded: &EmbeddedDeployment) -> Vec<Target> {
+    let addresses: Vec<SocketAddr> =
+        embedded.daemons.iter().map(|daemon| daemon.caller_address()).collect();
+    let group = embedded.deployment.members.keys().next().cloned().unwrap_or_default();
+    let target = |(workspace, key): &(String, String)| Target {
+        addresses: addresses.clone(),
+        workspace: workspace.clone(),
+        key: key.clone(),
+        group: group.clone(),
+    };
+    embedded.keys.iter().map(target).collect()
+}
+
+fn direct_target(embedded: &EmbeddedDeployment) -> Target {
+    let (group, addresses) = embedded
+        .deployment
+        .member_addresses
+        .iter()
+        .next()
+        .map(|(group, addresses)| (group.clone(), addresses.clone()))
+        .unwrap_or_default();
+    Target {
+        addresses: addresses.into_iter().take(1).collect(),
+        workspace: "snipehead".to_owned(),
+        key: "member-password".to_owned(),
+        group,
+    }
+}
+
+fn given_targets(load: &Load) -> Result<Vec<Target>, String> {
+    let text = load.to.as_deref().unwrap_or_default();
+    let addresses: Vec<SocketAddr> = text
+        .split(',')
+        .map(|address| {
+            address.parse().map_err(|_| format!("{address}: not an IP address and port"))
+        })
+        .collect::<Result<_, _>>()?;
+    let target = |text: &String| {
+        let parts: Vec<&str> = text.split(':').collect();
+        let [workspace, key, group] = parts.as_slice() else {
+            return Err(format!("{text}: give workspace:key:group"));
+        };
+        Ok(Target {
+            addresses: addresses.clone(),
+            workspace: (*workspace).to_owned(),
+            key: (*key).to_owned(),
+            group: (*group).to_owned(),
+        })
+    };
+    let targets: Vec<Target> = load.workspace.iter().map(target).collect::<Result<_, _>>()?;
+    match targets.is_empty() {
+        true => Err("give at least one --workspace workspace:key:group".to_owned()),
+        false => Ok(targets),
+    }
+}
+
+async fn measure(
+    name: &str,
+    targets: Vec<Target>,
+    shape: &LoadShape,
+) -> Result<RunFigures, String> {
+    let mut running = Vec::new();
+    for target in targets {
+        let shape = shape.clone();
+        running.push(tokio::spawn(run_workspace(Arc::new(target), shape)));
+    }
+    let mut workspaces = Vec::new();
+    for run in running {
+        workspaces.push(run.await.map_err(|error| error.to_string())??);
+    }
+    Ok(RunFigures { name: name.to_owned(), workspaces })
+}
+
+/// Holds idle connections and tells the memory of this process, which holds both their ends.
+async fn hold_idle(target: &Target, count: usize) -> Result<IdleFigures, String> {
+    let resident_before_kib = resident_kib();
+    let mut held = Vec::with_capacity(count);
+    for index in 0..count {
+        held.push(target.connect(index % target.addresses.len()).await?);
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    Ok(IdleFigures { connections: held.len(), resident_before_kib, resident_kib: resident_kib() })
+}
+
+/// Returns the resident memory of this process, in KiB.
+fn resident_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
+
+fn print_report(report: &Report, as_json: bool) -> Result<(), String> {
+    if as_json {
+        let text = serde_json::to_string_pretty(report).map_err(|error| error.to_string())?;
+        println!("{text}");
+        return Ok(());
+    }
+    for run in &report.runs {
+        println!("{} (seed {}, {} s)", run.name, report.seed, report.seconds);
+        println!(
+            "  workspace            class    done  failed  statements/s  p50 us   p99 us   max us"
+        );
+        for workspace in &run.workspaces {
+            for class in &workspace.classes {
+                println!(
+                    "  {:<20} {:<6} {:>6} {:>7} {:>13.0} {:>7} {:>8} {:>8}",
+                    workspace.workspace,
+                    class.name,
+                    class.done,
+                    class.failed,
+                    class.done as f64 / report.seconds.max(1) as f64,
+                    class.p50_us,
+                    class.p99_us,
+                    class.max_us
+                );
+            }
+        }
+    }
+    if let Some(idle) = &report.idle {
+        println!(
+            "{} idle connections: resident {} KiB before, {} KiB with them, both ends and the stand-ins included",
+            idle.connections, idle.resident_before_kib, idle.resident_kib
+        );
+    }
+    Ok(())
 }
--- /dev/null
+++ b/src/load/runner.rs
@@ -0,0 +1,276 @@
+//! Connections that send statements and measure the answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+use tokio_postgres::Client;
+use tokio_postgres::Config;
+use tokio_postgres::NoTls;
+use tokio_postgres::SimpleQueryMessage;
+
+use super::command::TABLE;
+
+/// Rows that reads choose from.
+const ROWS: i64 = 1_000;
+
+/// Longest latency recorded, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// Where and as whom to connect.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Addresses, used in turn.
+    pub addresses: Vec<SocketAddr>,
+    /// Workspace.
+    pub workspace: String,
+    /// Its key.
+    pub key: String,
+    /// Group.
+    pub group: String,
+}
+
+/// What to send.
+#[derive(Clone, Debug)]
+pub struct LoadShape {
+    /// Connections of each workspace.
+    pub connections: usize,
+    /// How long to send.
+    pub duration: Duration,
+    /// Statements a second of each workspace; 0 sends each when the one before is answered.
+    pub rate_per_s: u64,
+    /// Percent of statements that write.
+    pub write_percent: u32,
+    /// Seed of the choices.
+    pub seed: u64,
+}
+
+/// Figures of one class of statements.
+#[derive(Clone, Debug, Serialize)]
+pub struct ClassFigures {
+    /// Name of the class.
+    pub name: &'static str,
+    /// Statements that were answered.
+    pub done: u64,
+    /// Statements that failed.
+    pub failed: u64,
+    /// Median latency, in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile of latency, in microseconds.
+    pub p99_us: u64,
+    /// Greatest latency, in microseconds.
+    pub max_us: u64,
+}
+
+/// Figures of one workspace.
+#[derive(Clone, Debug, Serialize)]
+pub struct WorkspaceFigures {
+    /// Name of the workspace.
+    pub workspace: String,
+    /// Figures by class.
+    pub classes: Vec<ClassFigures>,
+    /// Worst latency in each tenth of a second, in microseconds.
+    pub worst_us_by_100_ms: Vec<u64>,
+}
+
+/// What one connection measured.
+struct Samples {
+    latency_us: [Histogram<u64>; 2],
+    failed: [u64; 2],
+    worst_us_by_100_ms: Vec<u64>,
+}
+
+impl Samples {
+    fn new() -> Result<Self, String> {
+        let histogram =
+            || Histogram::new_with_bounds(1, MAX_LATENCY_US, 3).map_err(|error| error.to_string());
+        Ok(Self {
+            latency_us: [histogram()?, histogram()?],
+            failed: [0, 0],
+            worst_us_by_100_ms: Vec::new(),
+        })
+    }
+
+    fn note(&mut self, is_write: bool, since_start: Duration, latency: Duration, is_done: bool) {
+        let class = usize::from(is_write);
+        let latency_us = latency.as_micros() as u64;
+        let slot = (since_start.as_millis() / 100) as usize;
+        if self.worst_us_by_100_ms.len() <= slot {
+            self.worst_us_by_100_ms.resize(slot + 1, 0);
+        }
+        self.worst_us_by_100_ms[slot] = self.worst_us_by_100_ms[slot].max(latency_us);
+        match is_done {
+            true => self.latency_us[class].saturating_record(latency_us),
+            false => self.failed[class] += 1,
+        }
+    }
+
+    fn merge(&mut self, other: &Self) {
+        for class in 0..2 {
+            // Both have the same bounds.
+            let _ = self.latency_us[class].add(&other.latency_us[class]);
+            self.failed[class] += other.failed[class];
+        }
+        let longest = self.worst_us_by_100_ms.len().max(other.worst_us_by_100_ms.len());
+        self.worst_us_by_100_ms.resize(longest, 0);
+        for (worst, theirs) in self.worst_us_by_100_ms.iter_mut().zip(&other.worst_us_by_100_ms) {
+            *worst = (*worst).max(*theirs);
+        }
+    }
+
+    fn figures(&self) -> Vec<ClassFigures> {
+        let figures = |(class, name): (usize, &'static str)| ClassFigures {
+            name,
+            done: self.latency_us[class].len(),
+            failed: self.failed[class],
+            p50_us: self.latency_us[class].value_at_quantile(0.5),
+            p99_us: self.latency_us[class].value_at_quantile(0.99),
+            max_us: self.latency_us[class].max(),
+        };
+        ["read", "write"].into_iter().enumerate().map(figures).collect()
+    }
+}
+
+/// A connection whose driver task is ended with it.
+pub struct Connection {
+    client: Client,
+    driver: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// Returns whether the statement was answered without an error.
+    async fn runs(&self, sql: &str) -> bool {
+        self.client.simple_query(sql).await.is_ok()
+    }
+
+    async fn number(&self, sql: &str) -> Option<i64> {
+        let messages = self.client.simple_query(sql).await.ok()?;
+        messages.iter().find_map(|message| match message {
+            SimpleQueryMessage::Row(row) => row.get(0)?.parse().ok(),
+            _ => None,
+        })
+    }
+}
+
+impl Target {
+    /// Connects to one of the addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns a sentence when the connection is refused.
+    pub async fn connect(&self, index: usize) -> Result<Connection, String> {
+        let address = self.addresses[index % self.addresses.len()];
+        let mut config = Config::new();
+        config
+            .host(address.ip().to_string())
+            .port(address.port())
+            .user(&self.workspace)
+            .password(&self.key)
+            .dbname(&self.group);
+        let (client, connection) = config.connect(NoTls).await.map_err(|error| {
+            let reason = error.as_db_error().map(ToString::to_string);
+            format!("{address}: {}", reason.unwrap_or_else(|| error.to_string()))
+        })?;
+        let driver = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Connection { client, driver })
+    }
+}
+
+/// Runs the load of one workspace.
+///
+/// # Errors
+///
+/// Returns a sentence when the workspace's table cannot be made.
+pub async fn run_workspace(
+    target: Arc<Target>,
+    shape: LoadShape,
+) -> Result<WorkspaceFigures, String> {
+    prepare(&target).await?;
+    let start = Instant::now();
+    let mut running = Vec::new();
+    for index in 0..shape.connections {
+        running.push(tokio::spawn(run_connection(target.clone(), shape.clone(), index, start)));
+    }
+    let mut samples = Samples::new()?;
+    for run in running {
+        samples.merge(&run.await.map_err(|error| error.to_string())??);
+    }
+    Ok(WorkspaceFigures {
+        workspace: target.workspace.clone(),
+        classes: samples.figures(),
+        worst_us_by_100_ms: samples.worst_us_by_100_ms,
+    })
+}
+
+async fn prepare(target: &Target) -> Result<(), String> {
+    let connection = target.connect(0).await?;
+    let create = format!("CREATE TABLE IF NOT EXISTS {TABLE} (id BIGINT PRIMARY KEY, note TEXT)");
+    if !connection.runs(&create).await {
+        return Err(format!("table {TABLE} cannot be made"));
+    }
+    let present = connection.number(&format!("SELECT COUNT(*) FROM {TABLE}")).await.unwrap_or(0);
+    if present >= ROWS {
+        return Ok(());
+    }
+    let row = |id: i64| format!("({id}, 'a note of some length, as people write them')");
+    let rows: Vec<String> = (0..ROWS).map(row).collect();
+    match connection.runs(&format!("INSERT INTO {TABLE} VALUES {}", rows.join(", "))).await {
+        true => Ok(()),
+        false => Err(format!("table {TABLE} cannot be filled")),
+    }
+}
+
+async fn run_connection(
+    target: Arc<Target>,
+    shape: LoadShape,
+    index: usize,
+    start: Instant,
+) -> Result<Samples, String> {
+    let mut random =
+        SmallRng::seed_from_u64(shape.seed.wrapping_mul(1_000).wrapping_add(index as u64));
+    let mut samples = Samples::new()?;
+    let mut connection = target.connect(index).await?;
+    let interval = match shape.rate_per_s {
+        0 => None,
+        rate => Some(Duration::from_secs_f64(shape.connections as f64 / rate as f64)),
+    };
+    let mut due = start;
+    while start.elapsed() < shape.duration {
+        let is_write = random.random_range(0..100) < shape.write_percent;
+        let id = random.random_range(0..ROWS);
+        let sql = match is_write {
+            true => format!("UPDATE {TABLE} SET note = 'changed' WHERE id = {id}"),
+            false => format!("SELECT note FROM {TABLE} WHERE id = {id}"),
+        };
+        // In an open loop the latency counts from the time at which the statement was due, so
+        // that a stall shows in all statements that it delays.
+        let asked_at = match interval {
+            Some(interval) => {
+                due += interval;
+                tokio::time::sleep_until(due.into()).await;
+                due
+            }
+            None => Instant::now(),
+        };
+        let is_done = connection.runs(&sql).await;
+        samples.note(is_write, start.elapsed(), asked_at.elapsed(), is_done);
+        if connection.client.is_closed() {
+            connection = target.connect(index + 1).await?;
+        }
+    }
+    Ok(samples)
+}
--- a/src/operator/auth_layer.rs
+++ b/src/operator/auth_layer.rs
@@ -25,9 +25,7 @@
 impl OperatorAuthLayer {
     /// Creates a layer for a secret.
     pub fn new(secret: &str) -> Self {
-        Self {
-            expected: format!("Bearer {secret}").into(),
-        }
+        Self { expected: format!("Bearer {secret}").into() }
     }
 }
 
@@ -35,10 +33,7 @@
     type Service = OperatorAuth<Inner>;
 
     fn layer(&self, inner: Inner) -> Self::Service {
-        OperatorAuth {
-            inner,
-            expected: self.expected.clone(),
-        }
+        OperatorAuth { inner, expected: self.expected.clone() }
     }
 }
 
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -43,7 +43,8 @@
         secret: &str,
         address: SocketAddr,
     ) -> std::io::Result<ServerHandle> {
-        let readiness = ProxyGetRequestLayer::new([("/ready", "ready")]).map_err(std::io::Error::other)?;
+        let readiness =
+            ProxyGetRequestLayer::new([("/ready", "ready")]).map_err(std::io::Error::other)?;
         let layers =
             tower::ServiceBuilder::new().layer(OperatorAuthLayer::new(secret)).layer(readiness);
         let server = Server::builder().set_http_middleware(layers).build(address).await?;
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -60,7 +60,7 @@
         for name in &fleet.data_centres_out {
             troubles.push(degraded(format!("data centre {name} is out of service")));
         }
-        troubles.sort_by(|left, right| right.health.cmp(&left.health));
+        troubles.sort_by_key(|trouble| std::cmp::Reverse(trouble.health));
         Self {
             health: troubles.first().map_or(Health::Healthy, |trouble| trouble.health),
             troubles,
@@ -74,17 +74,11 @@
 }
 
 fn degraded(text: String) -> Trouble {
-    Trouble {
-        health: Health::Degraded,
-        text,
-    }
+    Trouble { health: Health::Degraded, text }
 }
 
 fn failing(text: String) -> Trouble {
-    Trouble {
-        health: Health::Failing,
-        text,
-    }
+    Trouble { health: Health::Failing, text }
 }
 
 fn data_centres(fleet: &Fleet) -> BTreeMap<String, bool> {
@@ -151,7 +145,8 @@
                 let members = group.members.iter();
                 members.filter(|member| member.is_reachable).count()
             };
-            let rank = |group: &GroupReport| (group.term, group.primary.is_some(), reachable(group));
+            let rank =
+                |group: &GroupReport| (group.term, group.primary.is_some(), reachable(group));
             let known = merged.entry(group.name.clone()).or_insert_with(|| group.clone());
             if rank(group) > rank(known) {
                 *known = group.clone();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,5 +1,5 @@
 //! The exchange between daemons.
 
+pub mod pool;
 pub mod rpc;
 pub mod server;
-pub mod pool;
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -24,18 +24,15 @@
 impl PeerPool {
     /// Creates a pool; no call waits longer than `timeout`.
     pub fn new(secret: &str, timeout: Duration) -> Self {
-        Self {
-            secret: secret.to_owned(),
-            timeout,
-            clients: Mutex::new(HashMap::new()),
-        }
+        Self { secret: secret.to_owned(), timeout, clients: Mutex::new(HashMap::new()) }
     }
 
     async fn client(&self, address: SocketAddr) -> Option<PeerRpcClient> {
         if let Some(client) = self.clients.lock().await.get(&address) {
             return Some(client.clone());
         }
-        let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default).await.ok()?;
+        let transport =
+            tarpc::serde_transport::tcp::connect(address, Bincode::default).await.ok()?;
         let client = PeerRpcClient::new(client::Config::default(), transport).spawn();
         let is_admitted = client.hello(context::current(), self.secret.clone()).await.ok()?;
         if !is_admitted {
--- a/src/platform/rpc_client.rs
+++ b/src/platform/rpc_client.rs
@@ -29,11 +29,7 @@
 impl RpcPlatform {
     /// Creates a client; no call waits longer than `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self {
-            address,
-            timeout,
-            connection: Mutex::new(None),
-        }
+        Self { address, timeout, connection: Mutex::new(None) }
     }
 
     async fn connect(&self) -> Result<PlatformRpcClient, PlatformError> {
@@ -81,8 +77,7 @@
 impl Platform for RpcPlatform {
     async fn read(&self, key: &str) -> Result<Option<Row>, PlatformError> {
         let key = key.to_owned();
-        self.call(|client, context| async move { client.read(context, key).await })
-            .await
+        self.call(|client, context| async move { client.read(context, key).await }).await
     }
 
     async fn read_after(
@@ -119,12 +114,10 @@
 
     async fn get_object(&self, name: &str) -> Result<Option<String>, PlatformError> {
         let name = name.to_owned();
-        self.call(|client, context| async move { client.get_object(context, name).await })
-            .await
+        self.call(|client, context| async move { client.get_object(context, name).await }).await
     }
 
     async fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError> {
-        self.call(|client, context| async move { client.hosts(context).await })
-            .await
+        self.call(|client, context| async move { client.hosts(context).await }).await
     }
 }
--- a/src/relay/relay_access.rs
+++ b/src/relay/relay_access.rs
@@ -92,11 +92,7 @@
 impl RelayAccess {
     /// Creates a way with no homes.
     pub fn new(group: &str, secret: &str) -> Self {
-        Self {
-            group: group.to_owned(),
-            secret: secret.to_owned(),
-            homes: Mutex::new(Vec::new()),
-        }
+        Self { group: group.to_owned(), secret: secret.to_owned(), homes: Mutex::new(Vec::new()) }
     }
 
     /// Sets the relay addresses of the homes, the preferred one first.
@@ -125,7 +121,11 @@
     }
 
     /// Asks one home for a lane. An idle connection that turns out broken is replaced.
-    async fn ask(&self, pool: &Arc<RelayPool>, request: &LaneRequest) -> Result<LaneGrant, Refusal> {
+    async fn ask(
+        &self,
+        pool: &Arc<RelayPool>,
+        request: &LaneRequest,
+    ) -> Result<LaneGrant, Refusal> {
         loop {
             let (connection, was_idle) = pool.connect().await.map_err(|error| {
                 pool.avoid();
--- a/src/relay/relay_lane.rs
+++ b/src/relay/relay_lane.rs
@@ -25,11 +25,7 @@
 impl RelayLane {
     /// Creates a lane over a relay connection on which a home has granted one.
     pub fn new(connection: MemberConnection, pool: Arc<RelayPool>) -> Self {
-        Self {
-            connection: Some(connection),
-            pool,
-            is_broken: false,
-        }
+        Self { connection: Some(connection), pool, is_broken: false }
     }
 
     fn connection(&mut self) -> Result<&mut MemberConnection, LaneError> {
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -211,17 +211,14 @@
                 return Err(SqlError::new(sql_state::CANCELLED, message));
             }
         };
-        let grant = RelayGrant {
-            floor: granted.floor,
-            is_replica: granted.is_replica,
-        };
+        let grant = RelayGrant { floor: granted.floor, is_replica: granted.is_replica };
         Ok((granted.lane, grant))
     }
 }
 
 fn secret_of(process_id: i32) -> i32 {
     // The other side proved itself; this tells connections apart, no more.
-    process_id ^ 0x2f6e_2b1
+    process_id ^ 0x2f6e_2b15
 }
 
 fn ready() -> Reply {
--- a/src/settings/schema_check.rs
+++ b/src/settings/schema_check.rs
@@ -22,10 +22,8 @@
         .map_err(|error| vec![Finding::new("/", "schema", format!("is not JSON: {error}"))])?;
     let validator = jsonschema::validator_for(&schema)
         .map_err(|error| vec![Finding::new("/", "schema", format!("is not valid: {error}"))])?;
-    let mut findings: Vec<Finding> = validator
-        .iter_errors(&value)
-        .flat_map(|error| describe(&error, &value, &schema))
-        .collect();
+    let mut findings: Vec<Finding> =
+        validator.iter_errors(&value).flat_map(|error| describe(&error, &value, &schema)).collect();
     findings.sort_by(|left, right| (&left.path, &left.rule).cmp(&(&right.path, &right.rule)));
     match findings.is_empty() {
         true => Ok(value),
@@ -33,9 +31,14 @@
     }
 }
 
-fn describe(error: &jsonschema::ValidationError<'_>, value: &Value, schema: &Value) -> Vec<Finding> {
+fn describe(
+    error: &jsonschema::ValidationError<'_>,
+    value: &Value,
+    schema: &Value,
+) -> Vec<Finding> {
     let path = error.instance_path().to_string();
-    if let jsonschema::error::ValidationErrorKind::AdditionalProperties { unexpected } = error.kind()
+    if let jsonschema::error::ValidationErrorKind::AdditionalProperties { unexpected } =
+        error.kind()
     {
         let known = known_names(schema);
         let finding = |name: &String| {
--- a/src/stand_in/deployment.rs
+++ b/src/stand_in/deployment.rs
@@ -146,13 +146,7 @@
             };
             hosts.insert(host_name(index), addresses);
         }
-        Ok(Self {
-            platform,
-            members,
-            member_addresses,
-            hosts,
-            plan,
-        })
+        Ok(Self { platform, members, member_addresses, hosts, plan })
     }
 
     /// Returns the data centre of the host or member with this index.
@@ -257,9 +251,8 @@
     let (replication, routes) = match addresses {
         Some(given) => given,
         None => {
-            let direct = (0..MEMBERS)
-                .map(|_| free_address())
-                .collect::<std::io::Result<Vec<_>>>()?;
+            let direct =
+                (0..MEMBERS).map(|_| free_address()).collect::<std::io::Result<Vec<_>>>()?;
             (direct.clone(), vec![direct; MEMBERS])
         }
     };
--- a/src/stand_in/fault_proxy.rs
+++ b/src/stand_in/fault_proxy.rs
@@ -41,19 +41,12 @@
 impl Fault {
     /// A cut in both directions.
     pub fn cut() -> Self {
-        Self {
-            is_cut: true,
-            ..Self::default()
-        }
+        Self { is_cut: true, ..Self::default() }
     }
 
     /// A freeze in both directions.
     pub fn freeze() -> Self {
-        Self {
-            holds_requests: true,
-            holds_answers: true,
-            ..Self::default()
-        }
+        Self { holds_requests: true, holds_answers: true, ..Self::default() }
     }
 }
 
--- a/src/stand_in/member/control_call.rs
+++ b/src/stand_in/member/control_call.rs
@@ -63,14 +63,8 @@
         let number = |index: usize| text(index)?.parse::<u64>().map_err(|_| unknown(&name));
         match name.as_str() {
             "group_status" => Ok(Self::Status),
-            "group_accept_term" => Ok(Self::AcceptTerm {
-                term: number(0)?,
-                promoter: text(1)?,
-            }),
-            "group_promote" => Ok(Self::Promote {
-                term: number(0)?,
-                promoter: text(1)?,
-            }),
+            "group_accept_term" => Ok(Self::AcceptTerm { term: number(0)?, promoter: text(1)? }),
+            "group_promote" => Ok(Self::Promote { term: number(0)?, promoter: text(1)? }),
             "group_step_down" => Ok(Self::StepDown { term: number(0)? }),
             "group_resume" => Ok(Self::Resume { term: number(0)? }),
             "group_wait_applied" => Ok(Self::WaitApplied {
--- a/src/stand_in/member/replication.rs
+++ b/src/stand_in/member/replication.rs
@@ -71,9 +71,7 @@
             next = connections.next() => next,
         };
         let Some(Ok(transport)) = next else { continue };
-        let server = ReplicationServer {
-            member: member.clone(),
-        };
+        let server = ReplicationServer { member: member.clone() };
         let stop = member.stop.clone();
         member.tasks.spawn(async move {
             let requests = BaseChannel::with_defaults(transport).execute(server.serve());
@@ -107,8 +105,7 @@
             let core = lock(&member.core);
             let lag_ms = member.receive_lag_ms.load(Ordering::Relaxed);
             let min_age = Duration::from_millis(lag_ms);
-            core.is_primary()
-                .then(|| core.entries_after(position, Instant::now(), min_age))
+            core.is_primary().then(|| core.entries_after(position, Instant::now(), min_age))
         };
         if let Some(request) = request {
             let end = request.previous_position + request.entries.len() as u64;
--- a/src/stand_in/member/result_set.rs
+++ b/src/stand_in/member/result_set.rs
@@ -66,9 +66,8 @@
 fn type_of(declared: Option<&str>, name: &str) -> u32 {
     let declared = declared.unwrap_or_default().to_uppercase();
     let name = name.to_lowercase();
-    let is_number = ["count(", "sum(", "max(", "min("]
-        .iter()
-        .any(|prefix| name.starts_with(prefix));
+    let is_number =
+        ["count(", "sum(", "max(", "min("].iter().any(|prefix| name.starts_with(prefix));
     if declared.contains("INT") || (declared.is_empty() && is_number) {
         INT8_OID
     } else if declared.contains("REAL") || declared.contains("DOUBLE") {
@@ -95,10 +94,7 @@
         for (index, column) in columns.iter().enumerate() {
             put_value(&mut data, row.get_ref(index)?, column);
         }
-        rows.push(PgWireBackendMessage::DataRow(DataRow::new(
-            data,
-            columns.len() as i16,
-        )));
+        rows.push(PgWireBackendMessage::DataRow(DataRow::new(data, columns.len() as i16)));
     }
     Ok(ResultSet { rows, columns })
 }
@@ -130,11 +126,8 @@
 
 /// Builds text columns with the given names.
 pub fn text_columns(names: &[&str]) -> Vec<Column> {
-    let column = |name: &&str| Column {
-        name: (*name).to_owned(),
-        type_oid: TEXT_OID,
-        format_code: 0,
-    };
+    let column =
+        |name: &&str| Column { name: (*name).to_owned(), type_oid: TEXT_OID, format_code: 0 };
     names.iter().map(column).collect()
 }
 
--- a/src/stand_in/member/session.rs
+++ b/src/stand_in/member/session.rs
@@ -300,7 +300,11 @@
         Some(())
     }
 
-    fn step_extended(&mut self, message: Request, replies: &mut Vec<Reply>) -> Result<(), SqlError> {
+    fn step_extended(
+        &mut self,
+        message: Request,
+        replies: &mut Vec<Reply>,
+    ) -> Result<(), SqlError> {
         match message {
             Request::Parse(parse) => self.parse(parse, replies),
             Request::Bind(bind) => self.bind(bind, replies),
@@ -345,10 +349,7 @@
                 "cannot insert multiple commands into a prepared statement",
             ));
         }
-        let prepared = Prepared {
-            statement: statements.pop(),
-            type_oids: parse.type_oids,
-        };
+        let prepared = Prepared { statement: statements.pop(), type_oids: parse.type_oids };
         self.prepared.insert(parse.name.unwrap_or_default(), prepared);
         replies.push(Reply::ParseComplete(ParseComplete::new()));
         Ok(())
@@ -436,10 +437,7 @@
         with_columns: bool,
         replies: &mut Vec<Reply>,
     ) -> Result<(), SqlError> {
-        let ends_block = matches!(
-            statement.kind,
-            StatementKind::Commit | StatementKind::Rollback
-        );
+        let ends_block = matches!(statement.kind, StatementKind::Commit | StatementKind::Rollback);
         if self.is_failed && !ends_block {
             return Err(SqlError::new(
                 sql_state::IN_FAILED_TRANSACTION,
@@ -538,11 +536,8 @@
             return Err(to_sql_error(error));
         }
         let term = lock(&self.member.core).accepted_term();
-        self.transaction = Some(OpenTransaction {
-            is_explicit,
-            writes: may_write.then(Vec::new),
-            term,
-        });
+        self.transaction =
+            Some(OpenTransaction { is_explicit, writes: may_write.then(Vec::new), term });
         Ok(())
     }
 
@@ -634,7 +629,11 @@
         ))
     }
 
-    fn control(&mut self, call: &ControlCall, replies: &mut Vec<Reply>) -> Result<String, SqlError> {
+    fn control(
+        &mut self,
+        call: &ControlCall,
+        replies: &mut Vec<Reply>,
+    ) -> Result<String, SqlError> {
         let mut is_granted = true;
         match call {
             ControlCall::Status => {}
@@ -650,11 +649,7 @@
                     core.is_stepping_down = false;
                 }
             }
-            ControlCall::WaitApplied {
-                term,
-                position,
-                timeout_ms,
-            } => {
+            ControlCall::WaitApplied { term, position, timeout_ms } => {
                 let timeout = Duration::from_millis(*timeout_ms);
                 is_granted = self.wait_applied((*term, *position), timeout);
             }
--- a/src/stand_in/member/statement.rs
+++ b/src/stand_in/member/statement.rs
@@ -115,8 +115,5 @@
             ));
         }
     };
-    Ok(MemberStatement {
-        sql: statement.to_string(),
-        kind,
-    })
+    Ok(MemberStatement { sql: statement.to_string(), kind })
 }
--- a/src/stand_in/member/store.rs
+++ b/src/stand_in/member/store.rs
@@ -27,10 +27,7 @@
     pub fn create() -> rusqlite::Result<Self> {
         let folder = tempfile::tempdir().map_err(|_| rusqlite::Error::InvalidQuery)?;
         let applier = open(&folder)?;
-        Ok(Self {
-            folder: Arc::new(folder),
-            applier,
-        })
+        Ok(Self { folder: Arc::new(folder), applier })
     }
 
     /// Opens a further connection to the data file.
--- a/src/stand_in/platform.rs
+++ b/src/stand_in/platform.rs
@@ -180,11 +180,7 @@
                 return Ok(WriteOutcome::Conflict(present));
             }
             let version = version + 1;
-            let row = Row {
-                key: key.clone(),
-                version,
-                value,
-            };
+            let row = Row { key: key.clone(), version, value };
             content.rows.insert(key, row);
             WriteOutcome::Written(version)
         };
@@ -205,11 +201,7 @@
         Ok(())
     }
 
-    async fn get_object(
-        self,
-        _: context::Context,
-        name: String,
-    ) -> Result<Option<String>, String> {
+    async fn get_object(self, _: context::Context, name: String) -> Result<Option<String>, String> {
         self.admit().await?;
         Ok(lock(&self.content).objects.get(&name).cloned())
     }
--- a/src/tls.rs
+++ b/src/tls.rs
@@ -22,8 +22,7 @@
     let chain = CertificateDer::pem_file_iter(certificate_file)
         .and_then(Iterator::collect::<Result<Vec<_>, _>>)
         .map_err(|error| named(certificate_file, &error))?;
-    let key =
-        PrivateKeyDer::from_pem_file(key_file).map_err(|error| named(key_file, &error))?;
+    let key = PrivateKeyDer::from_pem_file(key_file).map_err(|error| named(key_file, &error))?;
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let config = ServerConfig::builder_with_provider(provider)
         .with_safe_default_protocol_versions()
--- a/src/traffic/cancel_registry.rs
+++ b/src/traffic/cancel_registry.rs
@@ -1,6 +1,7 @@
 //! Running requests that callers may cancel.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::sync::Arc;
 use std::sync::Mutex;
 
@@ -28,13 +29,11 @@
         let mut handles = self.handles.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         let mut random = rand::rng();
         loop {
-            let key = CancelKey {
-                process_id: random.random_range(1..i32::MAX),
-                secret: random.random(),
-            };
-            if !handles.contains_key(&key) {
+            let key =
+                CancelKey { process_id: random.random_range(1..i32::MAX), secret: random.random() };
+            if let Entry::Vacant(vacant) = handles.entry(key) {
                 let handle = Arc::new(Notify::new());
-                handles.insert(key, handle.clone());
+                vacant.insert(handle.clone());
                 return (key, handle);
             }
         }
--- a/src/wire/frontend_codec.rs
+++ b/src/wire/frontend_codec.rs
@@ -25,10 +25,7 @@
 impl FrontendCodec {
     /// Creates a codec that refuses any message longer than `max_message_bytes`.
     pub fn new(max_message_bytes: usize) -> Self {
-        Self {
-            context: DecodeContext::new(ProtocolVersion::PROTOCOL3_0),
-            max_message_bytes,
-        }
+        Self { context: DecodeContext::new(ProtocolVersion::PROTOCOL3_0), max_message_bytes }
     }
 
     /// Moves on from the negotiation of encryption to the startup message.
--- a/src/wire/sql_error.rs
+++ b/src/wire/sql_error.rs
@@ -40,10 +40,7 @@
     where
         M: Into<String>,
     {
-        Self {
-            severity: "FATAL",
-            ..Self::new(code, message)
-        }
+        Self { severity: "FATAL", ..Self::new(code, message) }
     }
 
     /// Adds what the caller can do.
--- a/tests/integration/harness/cluster.rs
+++ b/tests/integration/harness/cluster.rs
@@ -8,6 +8,10 @@
 use jsonrpsee::http_client::HttpClient;
 use serde_json::Value;
 use serde_json::json;
+use tempfile::TempDir;
+
+use super::daemon_process::DaemonProcess;
+use super::sql::Sql;
 use snipehead::client::connection::connect;
 use snipehead::control::operate::ChangeReceipt;
 use snipehead::control::operate::ChangeRequest;
@@ -24,10 +28,6 @@
 use snipehead::stand_in::fault_proxy::Fault;
 use snipehead::stand_in::fault_proxy::FaultProxy;
 use snipehead::stand_in::member::Member;
-use tempfile::TempDir;
-
-use super::daemon_process::DaemonProcess;
-use super::sql::Sql;
 
 const MEMBERS: usize = 3;
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -161,11 +161,13 @@
     }
 
     /// Applies a document through the first daemon that answers.
-    pub async fn apply_document(&self, document: &Value, version: u64) -> Result<ChangeReceipt, String> {
+    pub async fn apply_document(
+        &self,
+        document: &Value,
+        version: u64,
+    ) -> Result<ChangeReceipt, String> {
         let document = load_fleet_document(&document.to_string()).expect("the document is valid");
-        let operation = Operation::ApplyDocument {
-            document: Box::new(document),
-        };
+        let operation = Operation::ApplyDocument { document: Box::new(document) };
         let deadline = tokio::time::Instant::now() + READY_TIMEOUT;
         loop {
             let changed = self.change(&host_name(0), operation.clone(), Some(version)).await;
@@ -308,11 +310,6 @@
         }
     }
 
-    /// Returns the proxy between a daemon and a member of the first group.
-    pub fn member_link(&self, daemon: usize, member: usize) -> &Arc<FaultProxy> {
-        &self.links[&host_name(daemon)].members.values().next().expect("a group")[member]
-    }
-
     /// Sets a fault on a daemon's way to the platform.
     pub fn fault_to_platform(&self, daemon: usize, fault: Fault) {
         self.links[&host_name(daemon)].platform.set(fault);
@@ -338,7 +335,8 @@
     pub fn fault_between_members(&self, member: usize, fault: Fault) {
         for routes in self.replication.values() {
             for other in (0..MEMBERS).filter(|other| *other != member) {
-                for proxy in [&routes[member][other], &routes[other][member]].into_iter().flatten() {
+                for proxy in [&routes[member][other], &routes[other][member]].into_iter().flatten()
+                {
                     proxy.set(fault);
                 }
             }
--- a/tests/integration/harness/history.rs
+++ b/tests/integration/harness/history.rs
@@ -1,7 +1,6 @@
 //! Writers that record what they were told, and a check of it against the database.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -95,11 +94,7 @@
                 tasks.push(tokio::spawn(writing));
             }
         }
-        Self {
-            history,
-            stop,
-            tasks,
-        }
+        Self { history, stop, tasks }
     }
 
     /// Stops the writers and returns what they were told.
@@ -143,9 +138,3 @@
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
-
-/// Returns the ids within a table, by a query through a caller's connection.
-pub async fn ids(sql: &Sql, table: &str) -> BTreeSet<i64> {
-    let values = sql.done(&format!("SELECT id FROM {table}")).await;
-    values.iter().filter_map(|value| value.parse().ok()).collect()
-}
--- a/tests/integration/harness/sql.rs
+++ b/tests/integration/harness/sql.rs
@@ -50,6 +50,12 @@
     driver: tokio::task::JoinHandle<()>,
 }
 
+impl std::fmt::Debug for Sql {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Sql").finish_non_exhaustive()
+    }
+}
+
 impl Drop for Sql {
     fn drop(&mut self) {
         self.driver.abort();
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,5 +2,9 @@
 
 mod harness;
 
+mod keys;
+mod operations;
+mod rates;
 mod reads;
+mod sessions;
 mod writes;
--- a/tests/integration/reads.rs
+++ b/tests/integration/reads.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use snipehead::stand_in::fault_proxy::Fault;
 
 use crate::harness::cluster::Cluster;
+use snipehead::stand_in::fault_proxy::Fault;
 
 /// What is wrong while a session moves.
 #[derive(Clone, Copy, Debug)]
@@ -26,7 +26,10 @@
 #[case(Trouble::AfterFailover, false)]
 #[case(Trouble::AfterFailover, true)]
 #[tokio::test(flavor = "multi_thread")]
-async fn session_reads_its_write_on_every_daemon(#[case] trouble: Trouble, #[case] has_token: bool) {
+async fn session_reads_its_write_on_every_daemon(
+    #[case] trouble: Trouble,
+    #[case] has_token: bool,
+) {
     let cluster = Cluster::start(3).await;
     let writer = cluster.connect(0).await;
     writer.done("CREATE TABLE bookings (id BIGINT, house TEXT)").await;
@@ -103,7 +106,8 @@
         tokio::time::sleep(Duration::from_millis(150)).await;
     }
     let report = cluster.operator("host02");
-    let status = snipehead::operator::api::OperatorApiClient::status(&report).await.expect("status");
+    let status =
+        snipehead::operator::api::OperatorApiClient::status(&report).await.expect("status");
     let reading = &status.workspaces[0].reading;
     assert!(reading.replica_reads * 10 >= reading.reads * 8, "replicas served {reading:?}");
 }
--- /dev/null
+++ b/tests/integration/sessions.rs
@@ -0,0 +1,215 @@
+//! Transactions never mix, answers belong to their requests, and state never leaks.
+
+use std::time::Duration;
+
+use crate::harness::cluster::Cluster;
+use crate::harness::sql::Outcome;
+use crate::harness::sql::Sql;
+use snipehead::stand_in::fault_proxy::Fault;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn next_borrower_sees_nothing_of_a_daemon_killed_in_a_transaction() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.connect(0).await.done("CREATE TABLE notes (id BIGINT, note TEXT)").await;
+    for round in 0..3_usize {
+        let sql = cluster.connect(round).await;
+        sql.done("BEGIN").await;
+        sql.done(&format!("INSERT INTO notes VALUES ({round}, 'half')")).await;
+        cluster.daemon(round).kill();
+        let other = cluster.connect((round + 1) % 3).await;
+        other.done(&format!("INSERT INTO notes VALUES (10{round}, 'whole')")).await;
+        let half = other.done("SELECT COUNT(*) FROM notes WHERE note = 'half'").await;
+        assert_eq!(half, ["0"]);
+        cluster.start_daemon(&format!("host{:02}", round + 1));
+        cluster.await_ready().await;
+    }
+    assert_eq!(cluster.count("SELECT COUNT(*) FROM notes WHERE note = 'whole'"), 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_leave_within_a_transaction_leave_nothing() {
+    let cluster = Cluster::start(2).await;
+    cluster.connect(0).await.done("CREATE TABLE notes (id BIGINT, note TEXT)").await;
+    for round in 0..20_usize {
+        let leaver = cluster.connect(round % 2).await;
+        leaver.done("BEGIN").await;
+        leaver.done(&format!("INSERT INTO notes VALUES ({round}, 'half')")).await;
+        drop(leaver);
+        let next = cluster.connect(round % 2).await;
+        next.done(&format!("INSERT INTO notes VALUES (1{round:03}, 'whole')")).await;
+        let status = next.run("COMMIT").await;
+        assert!(status.is_done(), "COMMIT outside a transaction only warns: {status:?}");
+    }
+    assert_eq!(cluster.count("SELECT COUNT(*) FROM notes WHERE note = 'half'"), 0);
+    assert_eq!(cluster.count("SELECT COUNT(*) FROM notes WHERE note = 'whole'"), 20);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn concurrent_transactions_never_share_one() {
+    let cluster = std::sync::Arc::new(Cluster::start(3).await);
+    cluster.connect(0).await.done("CREATE TABLE notes (id BIGINT, note TEXT)").await;
+    let mut tasks = Vec::new();
+    for caller in 0..9_usize {
+        let cluster = cluster.clone();
+        tasks.push(tokio::spawn(async move {
+            let sql = cluster.connect(caller % 3).await;
+            for round in 0..10 {
+                sql.done("BEGIN").await;
+                sql.done(&format!("INSERT INTO notes VALUES ({round}, 'c{caller}')")).await;
+                let own =
+                    format!("SELECT COUNT(*) FROM notes WHERE note = 'c{caller}' AND id = {round}");
+                assert_eq!(sql.done(&own).await, ["1"]);
+                let end = if round % 2 == 0 { "COMMIT" } else { "ROLLBACK" };
+                sql.done(end).await;
+            }
+        }));
+    }
+    for task in tasks {
+        task.await.expect("the caller is content");
+    }
+    assert_eq!(cluster.count("SELECT COUNT(*) FROM notes"), 9 * 5);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancel_never_reaches_the_next_request() {
+    let cluster = Cluster::start(2).await;
+    cluster.connect(0).await.done("CREATE TABLE notes (id BIGINT, note TEXT)").await;
+    let sql = std::sync::Arc::new(cluster.connect(0).await);
+    let token = sql.client.cancel_token();
+    let running = tokio::spawn({
+        let sql = sql.clone();
+        async move { sql.run("SELECT pg_sleep(10)").await }
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let started_at = tokio::time::Instant::now();
+    token.cancel_query(tokio_postgres::NoTls).await.expect("the request is sent");
+    let outcome = running.await.expect("no panic");
+    assert!(matches!(&outcome, Outcome::Refused(code, _) if code == "57014"), "{outcome:?}");
+    assert!(started_at.elapsed() < Duration::from_secs(2));
+    for round in 0..50 {
+        let racing = token.clone();
+        let cancel = tokio::spawn(async move { racing.cancel_query(tokio_postgres::NoTls).await });
+        let one = sql.run(&format!("INSERT INTO notes VALUES ({round}, 'x')")).await;
+        assert!(one.is_done() || matches!(&one, Outcome::Refused(..)), "{one:?}");
+        let _ = cancel.await;
+        let other = cluster.connect(0).await;
+        let count = other.run("SELECT COUNT(*) FROM notes").await;
+        assert!(count.is_done(), "another caller's request was cancelled: {count:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancel_through_another_daemon_finds_its_request() {
+    let cluster = Cluster::start(2).await;
+    let sql = std::sync::Arc::new(cluster.connect(0).await);
+    let running = tokio::spawn({
+        let sql = sql.clone();
+        async move { sql.run("SELECT pg_sleep(8)").await }
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // The balancer may lead the cancel request to any daemon.
+    let other = cluster.deployment.hosts["host02"].caller;
+    let stream = tokio::net::TcpStream::connect(other).await.expect("connected");
+    sql.client.cancel_token().cancel_query_raw(stream, tokio_postgres::NoTls).await.expect("sent");
+    let outcome = tokio::time::timeout(Duration::from_secs(4), running).await.expect("cancelled");
+    assert!(matches!(outcome.expect("no panic"), Outcome::Refused(code, _) if code == "57014"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_work_and_never_reach_another_caller() {
+    let cluster = Cluster::start(1).await;
+    let one = cluster.connect(0).await;
+    one.done("SET statement_timeout = '12345'").await;
+    one.done("SELECT 1").await;
+    for refused in [
+        "CREATE TEMPORARY TABLE t (id BIGINT)",
+        "LISTEN bookings",
+        "SELECT pg_advisory_lock(1)",
+        "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+        "SET work_mem = '1GB'",
+        "SET ROLE postgres",
+        "COPY notes TO STDOUT",
+        "PREPARE p AS SELECT 1",
+    ] {
+        let outcome = one.run(refused).await;
+        assert!(
+            matches!(&outcome, Outcome::Refused(code, _) if code == "0A000"),
+            "{refused}: {outcome:?}"
+        );
+        one.done("SELECT 1").await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drivers_prepared_statements_work_over_pooled_connections() {
+    let cluster = Cluster::start(3).await;
+    let setup = cluster.connect(0).await;
+    setup.done("CREATE TABLE notes (id BIGINT, note TEXT)").await;
+    let mut callers: Vec<Sql> = Vec::new();
+    for daemon in 0..3 {
+        callers.push(cluster.connect(daemon).await);
+    }
+    let mut statements = Vec::new();
+    for caller in &callers {
+        let types = [tokio_postgres::types::Type::INT8, tokio_postgres::types::Type::TEXT];
+        let insert = caller.client.prepare_typed("INSERT INTO notes VALUES ($1, $2)", &types).await;
+        let count = caller.client.prepare("SELECT COUNT(*) FROM notes").await;
+        statements.push((insert.expect("prepared"), count.expect("prepared")));
+    }
+    for round in 0..30_i64 {
+        let index = round as usize % 3;
+        let caller = &callers[index];
+        let (insert, count) = &statements[index];
+        let inserted = caller.client.execute(insert, &[&round, &"x"]).await.expect("inserted");
+        assert_eq!(inserted, 1);
+        let row = caller.client.query_one(count, &[]).await.expect("counted");
+        assert!(row.get::<_, i64>(0) >= round + 1 - 2);
+    }
+    let mut caller = cluster.connect(0).await;
+    let transaction = caller.client.transaction().await.expect("begun");
+    let types = [tokio_postgres::types::Type::INT8];
+    let insert = transaction.prepare_typed("INSERT INTO notes VALUES ($1, 'tx')", &types).await;
+    let insert = insert.expect("prepared");
+    transaction.execute(&insert, &[&100_i64]).await.expect("inserted");
+    transaction.execute(&insert, &[&101_i64]).await.expect("inserted");
+    transaction.commit().await.expect("committed");
+    let failed = caller.client.query("SELECT * FROM missing", &[]).await;
+    assert!(failed.is_err());
+    assert_eq!(caller.done("SELECT COUNT(*) FROM notes").await, ["32"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_answers_stream_whole() {
+    let cluster = Cluster::start(2).await;
+    for daemon in 0..2 {
+        let sql = cluster.connect(daemon).await;
+        let query = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 200000) \
+            SELECT i FROM n";
+        let values = sql.done(query).await;
+        assert_eq!(values.len(), 200_000);
+        assert_eq!(values.last().map(String::as_str), Some("200000"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answer_never_reaches_the_next_borrower() {
+    let cluster = Cluster::start(1).await;
+    let setup = cluster.connect(0).await;
+    setup.done("CREATE TABLE notes (id BIGINT, note TEXT)").await;
+    setup.done("INSERT INTO notes VALUES (7, 'x')").await;
+    for _ in 0..5 {
+        (0..3).for_each(|member| {
+            cluster.fault_to_member(0, member, Fault { holds_answers: true, ..Fault::default() });
+        });
+        let gone =
+            cluster.connect_as(0, "families", &cluster.keys["families"], "dispatch", "").await;
+        if let Ok(gone) = gone {
+            let _ =
+                tokio::time::timeout(Duration::from_millis(100), gone.run("SELECT 999 AS late"))
+                    .await;
+        }
+        cluster.heal();
+        let next = cluster.connect(0).await;
+        assert_eq!(next.done("SELECT id FROM notes").await, ["7"]);
+    }
+}
--- a/tests/integration/writes.rs
+++ b/tests/integration/writes.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use snipehead::stand_in::fault_proxy::Fault;
 
 use crate::harness::cluster::Cluster;
 use crate::harness::history::Writers;
 use crate::harness::sql::Outcome;
+use snipehead::stand_in::fault_proxy::Fault;
 
 /// Longest gap in service that today's target allows.
 const MAX_GAP_MS: u64 = 2_000;
@@ -59,7 +59,11 @@
     history.check(&cluster, "notes");
     other.check(&cluster, "notes");
     assert_eq!(cluster.primaries().len(), 1, "one primary is left");
-    println!("{loss:?}: longest gap {} ms, {} failures", history.longest_gap_ms(), history.failures().len());
+    println!(
+        "{loss:?}: longest gap {} ms, {} failures",
+        history.longest_gap_ms(),
+        history.failures().len()
+    );
     let bound = match loss {
         // The primary still answers, and is deposed only once its members have long been deaf.
         Loss::CutFromMembers => 2 * MAX_GAP_MS,
@@ -106,14 +110,8 @@
         sql.done("SELECT COUNT(*) FROM notes").await;
         let bytes = cut / 2 * 4;
         let fault = match cut % 2 {
-            0 => Fault {
-                reset_after_request_bytes: Some(bytes),
-                ..Fault::default()
-            },
-            _ => Fault {
-                reset_after_answer_bytes: Some(bytes),
-                ..Fault::default()
-            },
+            0 => Fault { reset_after_request_bytes: Some(bytes), ..Fault::default() },
+            _ => Fault { reset_after_answer_bytes: Some(bytes), ..Fault::default() },
         };
         (0..2).for_each(|daemon| cluster.fault_to_member(daemon, primary, fault));
         let outcome = sql.run(&format!("INSERT INTO notes VALUES ({cut}, 'x')")).await;
@@ -160,10 +158,7 @@
         if round % 12 == 11 {
             cluster.isolate_member_with(primary, None, Fault::cut());
         } else {
-            let fault = Fault {
-                reset_after_answer_bytes: Some(round * 16),
-                ..Fault::default()
-            };
+            let fault = Fault { reset_after_answer_bytes: Some(round * 16), ..Fault::default() };
             (0..3).for_each(|daemon| cluster.fault_to_member(daemon, primary, fault));
         }
         let sql = format!("INSERT INTO visits VALUES ({round}, 'Abay 5')");
