--- a/src/caller/classify.rs
+++ b/src/caller/classify.rs
@@ -41,12 +41,13 @@
 }
 
 fn classify_one(statement: &Statement) -> StatementClass {
-    let functions = Functions::of(statement);
-    if let Some(reason) = functions.refusal {
+    let contents = Contents::of(statement);
+    if let Some(reason) = contents.refusal {
         return StatementClass::Refused(reason);
     }
     match statement {
-        Statement::Query(query) => classify_query(query, functions.only_read),
+        Statement::Query(_) if contents.only_read => StatementClass::Read,
+        Statement::Query(_) => StatementClass::Write,
         Statement::StartTransaction { modes, .. } => StatementClass::Begin {
             sql: statement.to_string(),
             is_read_only: modes.iter().any(|mode| mode.to_string() == "READ ONLY"),
@@ -95,13 +96,6 @@
     StatementClass::Refused(format!("{what} is not supported through the proxy"))
 }
 
-fn classify_query(query: &Query, functions_only_read: bool) -> StatementClass {
-    match functions_only_read && only_reads(query) {
-        true => StatementClass::Read,
-        false => StatementClass::Write,
-    }
-}
-
 fn only_reads(query: &Query) -> bool {
     let parts = query.with.iter().flat_map(|with| &with.cte_tables);
     let has_reading_parts = parts.into_iter().all(|part| only_reads(&part.query));
@@ -169,20 +163,20 @@
     }
 }
 
-/// What the functions within a statement mean for it.
-struct Functions {
+/// What the functions and queries within a statement mean for it.
+struct Contents {
     only_read: bool,
     refusal: Option<String>,
 }
 
-impl Functions {
+impl Contents {
     fn of(statement: &Statement) -> Self {
-        let mut functions = Self { only_read: true, refusal: None };
+        let mut contents = Self { only_read: true, refusal: None };
         if let Statement::Call(function) = statement {
-            functions.note(&function.name);
+            contents.note(&function.name);
         }
-        let _ = statement.visit(&mut functions);
-        functions
+        let _ = statement.visit(&mut contents);
+        contents
     }
 
     fn note(&mut self, name: &ObjectName) {
@@ -194,7 +188,7 @@
     }
 }
 
-impl Visitor for Functions {
+impl Visitor for Contents {
     type Break = ();
 
     fn pre_visit_expr(&mut self, expression: &Expr) -> ControlFlow<()> {
@@ -204,6 +198,11 @@
         ControlFlow::Continue(())
     }
 
+    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
+        self.only_read &= only_reads(query);
+        ControlFlow::Continue(())
+    }
+
     fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
         match factor {
             TableFactor::Table { args: None, .. }
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -162,12 +162,12 @@
         match event {
             Event::Tick => self.tick(now_ms, &mut actions),
             Event::TableRead { asked_at_ms, changes } => {
-                self.take_changes(changes, &mut actions);
+                self.take_changes(now_ms, changes, &mut actions);
                 self.standing.note_table(asked_at_ms);
                 self.table_heard_at_ms = self.table_heard_at_ms.max(Some(asked_at_ms));
             }
             Event::Committed(change) => {
-                self.take_changes(vec![change], &mut actions);
+                self.take_changes(now_ms, vec![change], &mut actions);
                 self.exchange_with_all(now_ms, &mut actions);
             }
             Event::Answered { peer, asked_at_ms, answer } => {
@@ -281,7 +281,7 @@
     ) {
         let parsed = answer.changes.iter().map(|text| serde_json::from_str(text));
         let changes: Vec<Change> = parsed.map_while(Result::ok).collect();
-        self.take_changes(changes, actions);
+        self.take_changes(now_ms, changes, actions);
         self.ledger.receive(answer.generation, &answer.gifts);
         let known = self.peers.entry(peer.to_owned()).or_default();
         known.heard_at_ms = now_ms;
@@ -298,7 +298,7 @@
         }
     }
 
-    fn take_changes(&mut self, changes: Vec<Change>, actions: &mut Vec<Action>) {
+    fn take_changes(&mut self, now_ms: u64, changes: Vec<Change>, actions: &mut Vec<Action>) {
         let mut fleet = (*self.fleet).clone();
         for change in changes {
             if change.version != fleet.version + 1 {
@@ -317,11 +317,13 @@
         let generation = &self.fleet.generation;
         let is_member = generation.includes(&self.host, self.incarnation);
         let members = generation.hosts.len() as u64;
-        self.ledger.start_generation(generation.number, members, is_member);
+        // Without the lease, others may have taken over what this daemon still counts as its own.
+        let keeps_parts = self.is_standing(now_ms);
+        self.ledger.start_generation(generation.number, members, is_member, keeps_parts);
         let names: Vec<&str> =
             self.fleet.workspaces().iter().map(|workspace| workspace.name.as_str()).collect();
         self.ledger.set_workspaces(&names, is_member);
-        self.homes.set(&self.fleet, &self.host, is_member);
+        self.homes.set(&self.fleet, &self.host, is_member, keeps_parts);
         actions.push(Action::Publish);
     }
 
@@ -398,7 +400,7 @@
 
     /// Returns the end of the lease, in milliseconds.
     pub fn standing_until_ms(&self, now_ms: u64) -> u64 {
-        self.standing.until_ms(now_ms, &self.other_hosts())
+        self.standing.until_ms(now_ms, &self.other_hosts(), self.has_stood)
     }
 
     /// Returns whether the daemon may serve now.
--- a/src/control/home_plan.rs
+++ b/src/control/home_plan.rs
@@ -13,8 +13,12 @@
 }
 
 impl HomePlans {
-    /// Takes a new configuration. Parts shrink at once.
-    pub fn set(&mut self, fleet: &Fleet, host: &str, is_member: bool) {
+    /// Takes a new configuration. Parts shrink at once; a daemon that does not keep its parts
+    /// (`keeps_parts`) gets them only once the configuration is in force.
+    pub fn set(&mut self, fleet: &Fleet, host: &str, is_member: bool, keeps_parts: bool) {
+        if !keeps_parts {
+            self.parts.clear();
+        }
         for (name, part) in &mut self.parts {
             if fleet.group(name).is_none() {
                 part.set(fleet.version, 0);
--- a/src/control/share_ledger.rs
+++ b/src/control/share_ledger.rs
@@ -65,7 +65,16 @@
     }
 
     /// Starts a generation with an even share, or none for a daemon outside it.
-    pub fn start_generation(&mut self, generation: u64, members: u64, is_member: bool) {
+    ///
+    /// Until the generation is in force, at most the share of the one before is spent; a daemon
+    /// that does not keep that (`keeps_share`) spends nothing.
+    pub fn start_generation(
+        &mut self,
+        generation: u64,
+        members: u64,
+        is_member: bool,
+        keeps_share: bool,
+    ) {
         if generation <= self.generation {
             return;
         }
@@ -74,7 +83,10 @@
             false => 0,
         };
         for share in self.shares.values_mut() {
-            let before_ppm = share.effective_ppm();
+            let before_ppm = match keeps_share {
+                true => share.effective_ppm(),
+                false => 0,
+            };
             share.held_ppm = even_ppm;
             share.cap_ppm = Some(before_ppm);
         }
--- a/src/control/standing.rs
+++ b/src/control/standing.rs
@@ -29,14 +29,17 @@
     }
 
     /// Returns the end of the lease, given the names of the other hosts.
-    pub fn until_ms(&self, now_ms: u64, others: &[String]) -> u64 {
+    ///
+    /// `has_stood` tells whether the daemon ever held the lease. One that did not has nothing to
+    /// tell itself: it may stand in place of a daemon that knew more.
+    pub fn until_ms(&self, now_ms: u64, others: &[String], has_stood: bool) -> u64 {
         let by_table = self.table_asked_at_ms.map_or(0, |asked_at_ms| asked_at_ms + LEASE_MS);
-        by_table.max(self.until_by_peers_ms(now_ms, others))
+        by_table.max(self.until_by_peers_ms(now_ms, others, has_stood))
     }
 
-    fn until_by_peers_ms(&self, now_ms: u64, others: &[String]) -> u64 {
-        let hosts = others.len() + 1;
-        let needed = hosts / 2 + 1 - 1;
+    fn until_by_peers_ms(&self, now_ms: u64, others: &[String], has_stood: bool) -> u64 {
+        let majority = (others.len() + 1) / 2 + 1;
+        let needed = majority - usize::from(has_stood);
         if needed == 0 {
             // The only host knows all that the hosts know, but not the table.
             return match self.table_asked_at_ms {
--- a/src/stand_in/member/core.rs
+++ b/src/stand_in/member/core.rs
@@ -121,7 +121,8 @@
         self.log.len() as u64
     }
 
-    fn term_at(&self, position: u64) -> u64 {
+    /// Returns the term of the entry at a position; 0 if there is none.
+    pub fn term_at(&self, position: u64) -> u64 {
         match position {
             0 => 0,
             _ => self.log.get(position as usize - 1).map_or(0, |entry| entry.term),
--- /dev/null
+++ b/tests/integration/decisions/classification.rs
@@ -0,0 +1,76 @@
+//! What may go to a replica, and what is refused.
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use snipehead::caller::classify::classify;
+use snipehead::caller::statement_class::StatementClass;
+
+#[rstest]
+#[case("SELECT 1")]
+#[case("SELECT id, lower(house) FROM visits WHERE id = 3 ORDER BY id LIMIT 5")]
+#[case("SELECT COUNT(*) FROM visits v JOIN houses h ON h.id = v.house")]
+#[case("WITH n AS (SELECT 1) SELECT * FROM n")]
+#[case("SELECT 1 UNION ALL SELECT 2")]
+#[case("VALUES (1), (2)")]
+fn plain_queries_may_go_to_a_replica(#[case] sql: &str) {
+    assert_eq!(classify(sql), [StatementClass::Read]);
+}
+
+#[rstest]
+#[case("SELECT nextval('s')")]
+#[case("SELECT * FROM refresh_all()")]
+#[case("SELECT house FROM visits FOR UPDATE")]
+#[case("SELECT * FROM (SELECT id FROM visits FOR SHARE) AS v")]
+#[case("SELECT * INTO copy FROM visits")]
+#[case("WITH gone AS (DELETE FROM visits RETURNING id) SELECT * FROM gone")]
+#[case("INSERT INTO visits VALUES (1)")]
+#[case("UPDATE visits SET id = 2")]
+#[case("SELECT id FROM visits WHERE id IN (SELECT bump(id) FROM visits)")]
+#[case("EXPLAIN ANALYZE DELETE FROM visits")]
+fn everything_else_goes_to_the_primary(#[case] sql: &str) {
+    assert_eq!(classify(sql), [StatementClass::Write]);
+}
+
+#[rstest]
+#[case("COPY visits TO STDOUT")]
+#[case("LISTEN bookings")]
+#[case("CREATE TEMP TABLE t (id INT)")]
+#[case("SELECT pg_advisory_lock(1)")]
+#[case("SELECT pg_catalog.pg_try_advisory_lock(1)")]
+#[case("SELECT set_config('a', 'b', false)")]
+#[case("CALL group_promote(9, 'me')")]
+#[case("SELECT group_accept_term(9, 'me')")]
+#[case("CALL public.group_step_down(1)")]
+#[case("PREPARE p AS SELECT 1")]
+#[case("SET SESSION AUTHORIZATION postgres")]
+fn statements_that_leave_state_or_steer_a_group_are_refused(#[case] sql: &str) {
+    let classes = classify(sql);
+    let is_refused = |class: &StatementClass| matches!(class, StatementClass::Refused(_));
+    assert!(classes.iter().any(is_refused), "{sql}: {classes:?}");
+}
+
+#[test]
+fn text_that_cannot_be_parsed_goes_to_the_primary_on_a_connection_of_its_own() {
+    assert_eq!(classify("SELEKT 1 FRM"), [StatementClass::Tainting]);
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_classified(text in "\\PC{0,200}") {
+        classify(&text);
+    }
+
+    #[test]
+    fn a_write_is_never_taken_for_a_read(padding in "[ \\n\\t]{0,4}", id in any::<i64>()) {
+        let statements = [
+            format!("{padding}DELETE FROM visits WHERE id = {id}"),
+            format!("WITH d AS{padding} (UPDATE visits SET id = {id} RETURNING id) SELECT id FROM d"),
+            format!("SELECT 1;{padding}DELETE FROM visits WHERE id = {id}"),
+        ];
+        for sql in statements {
+            let classes = classify(&sql);
+            prop_assert!(classes.iter().any(|class| *class != StatementClass::Read), "{}", sql);
+        }
+    }
+}
--- /dev/null
+++ b/tests/integration/decisions/settings.rs
@@ -0,0 +1,57 @@
+//! Settings and documents: every finding at once, each with its place.
+
+use std::path::Path;
+
+use insta::assert_snapshot;
+use proptest::prelude::*;
+
+use snipehead::client::commands::check_text;
+
+fn folder(name: &str) -> Vec<(String, String)> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join(name);
+    let mut files: Vec<_> = std::fs::read_dir(folder)
+        .expect("the folder exists")
+        .map(|entry| entry.expect("readable").path())
+        .filter(|path| path.extension().is_some_and(|extension| extension == "json"))
+        .collect();
+    files.sort();
+    let read = |path: std::path::PathBuf| {
+        let name = path.file_name().expect("a name").to_string_lossy().into_owned();
+        (name, std::fs::read_to_string(&path).expect("readable"))
+    };
+    files.into_iter().map(read).collect()
+}
+
+#[test]
+fn samples_and_valid_files_have_no_findings() {
+    let files = folder("samples").into_iter().chain(folder("tests/integration/data/valid"));
+    for (name, text) in files {
+        assert_eq!(check_text(&text), Vec::new(), "{name}");
+    }
+}
+
+#[test]
+fn invalid_files_have_these_findings() {
+    let mut report = String::new();
+    for (name, text) in folder("tests/integration/data/invalid") {
+        let findings = check_text(&text);
+        assert!(!findings.is_empty(), "{name} has no findings");
+        report.push_str(&format!("{name}\n"));
+        findings.iter().for_each(|finding| report.push_str(&format!("  {finding}\n")));
+    }
+    assert_snapshot!(report);
+}
+
+#[test]
+fn secrets_are_never_shown_in_findings() {
+    let text = include_str!("../data/invalid/short-secret.json");
+    let shown = format!("{:?}", check_text(text));
+    assert!(!shown.contains("tooshort"), "{shown}");
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_checked(text in "\\PC{0,300}") {
+        check_text(&text);
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole system: real daemon processes behind fault-injecting proxies.
 
+mod decisions;
 mod harness;
 
 mod keys;
