--- a/src/client/arguments.rs
+++ b/src/client/arguments.rs
@@ -45,6 +45,24 @@
     Demo(Demo),
     /// Runs a load.
     Load(Load),
+    /// Takes a measure.
+    Measure(Measure),
+}
+
+/// Take a measure in a deployment of its own: replica-reads, failover, neighbour, rates,
+/// data-centre or control.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "measure")]
+pub struct Measure {
+    /// name of the measure
+    #[argh(positional)]
+    pub name: String,
+    /// daemons, for control
+    #[argh(option, default = "9")]
+    pub hosts: usize,
+    /// seconds, for control
+    #[argh(option, default = "10")]
+    pub seconds: u64,
 }
 
 /// Check a file with a daemon's settings or a fleet's document; exits with 2 on findings.
--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -23,6 +23,7 @@
 use crate::fleet::change::Operation;
 use crate::fleet::key::Key;
 use crate::load;
+use crate::measure;
 use crate::operator::api::OperatorApiClient;
 use crate::operator::status::Health;
 use crate::settings::finding::Finding;
@@ -52,6 +53,7 @@
         Command::Check(check) => Ok(check_file(&check)),
         Command::Demo(demo) => demo::run(demo.port).await.map(|()| 0),
         Command::Load(load) => load::command::run(load).await.map(|()| 0),
+        Command::Measure(measure) => measure::command::run(measure).await.map(|()| 0),
         command => {
             let address = match arguments.daemon {
                 Some(address) => address,
@@ -118,7 +120,7 @@
                 self.client.drain().await.map_err(explain)?;
                 println!("the daemon is stopping");
             }
-            Command::Check(_) | Command::Demo(_) | Command::Load(_) => {}
+            Command::Check(_) | Command::Demo(_) | Command::Load(_) | Command::Measure(_) => {}
         }
         Ok(0)
     }
--- a/src/control/standing.rs
+++ b/src/control/standing.rs
@@ -38,7 +38,7 @@
     }
 
     fn until_by_peers_ms(&self, now_ms: u64, others: &[String], has_stood: bool) -> u64 {
-        let majority = (others.len() + 1) / 2 + 1;
+        let majority = others.len().div_ceil(2) + 1;
         let needed = majority - usize::from(has_stood);
         if needed == 0 {
             // The only host knows all that the hosts know, but not the table.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,4 +29,6 @@
 #[cfg(feature = "stand-ins")]
 pub mod load;
 #[cfg(feature = "stand-ins")]
+pub mod measure;
+#[cfg(feature = "stand-ins")]
 pub mod stand_in;
--- a/src/load/command.rs
+++ b/src/load/command.rs
@@ -104,6 +104,7 @@
         workspace: workspace.clone(),
         key: key.clone(),
         group: group.clone(),
+        options: String::new(),
     };
     embedded.keys.iter().map(target).collect()
 }
@@ -121,6 +122,7 @@
         workspace: "snipehead".to_owned(),
         key: "member-password".to_owned(),
         group,
+        options: String::new(),
     }
 }
 
@@ -142,6 +144,7 @@
             workspace: (*workspace).to_owned(),
             key: (*key).to_owned(),
             group: (*group).to_owned(),
+            options: String::new(),
         })
     };
     let targets: Vec<Target> = load.workspace.iter().map(target).collect::<Result<_, _>>()?;
--- a/src/load/runner.rs
+++ b/src/load/runner.rs
@@ -34,6 +34,8 @@
     pub key: String,
     /// Group.
     pub group: String,
+    /// Settings of the session, as in a connection string.
+    pub options: String,
 }
 
 /// What to send.
@@ -165,6 +167,12 @@
 }
 
 impl Target {
+    /// Adds settings for the session.
+    pub fn with_options(mut self, options: &str) -> Self {
+        options.clone_into(&mut self.options);
+        self
+    }
+
     /// Connects to one of the addresses.
     ///
     /// # Errors
@@ -179,6 +187,9 @@
             .user(&self.workspace)
             .password(&self.key)
             .dbname(&self.group);
+        if !self.options.is_empty() {
+            config.options(&self.options);
+        }
         let (client, connection) = config.connect(NoTls).await.map_err(|error| {
             let reason = error.as_db_error().map(ToString::to_string);
             format!("{address}: {}", reason.unwrap_or_else(|| error.to_string()))
--- a/tests/integration/decisions/versions.rs
+++ b/tests/integration/decisions/versions.rs
@@ -177,11 +177,11 @@
                 let event = Event::Answered { peer, asked_at_ms: self.now_ms, answer };
                 self.step(index, event, stretch);
             }
-            Action::ProposeGeneration { hosts, version } if reaches_table => {
-                if version == self.log.len() as u64 {
-                    let change = self.append(Operation::StartGeneration { hosts });
-                    self.step(index, Event::Committed(change), stretch);
-                }
+            Action::ProposeGeneration { hosts, version }
+                if reaches_table && version == self.log.len() as u64 =>
+            {
+                let change = self.append(Operation::StartGeneration { hosts });
+                self.step(index, Event::Committed(change), stretch);
             }
             _ => {}
         }
