--- a/src/control.rs
+++ b/src/control.rs
@@ -6,6 +6,7 @@
 pub mod driver;
 pub mod failover;
 pub mod failover_driver;
+pub mod handle;
 pub mod home_manager;
 pub mod home_plan;
 pub mod majority_history;
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -1,5 +1,9 @@
 //! The control thread: carries out what the decisions ask for.
 
+mod commits;
+mod moves;
+mod reports;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -8,37 +12,26 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
-use super::core::Action;
-use super::core::ControlCore;
-use super::core::Event;
-use super::daemon_life::DaemonLife;
-use super::daemon_life::LifeAction;
-use super::daemon_life::LifeSituation;
-use super::failover_driver::FailoverDriver;
-use super::home_manager::HomeManager;
-use super::home_manager::map_address;
-use super::operate::ChangeError;
-use super::operate::ChangeReceipt;
-use super::operate::ChangeRequest;
-use super::operate::new_change;
 use crate::clock;
+use crate::control::core::Action;
+use crate::control::core::ControlCore;
+use crate::control::core::Event;
+use crate::control::daemon_life::DaemonLife;
+use crate::control::daemon_life::LifeAction;
+use crate::control::daemon_life::LifeSituation;
+use crate::control::failover_driver::FailoverDriver;
+use crate::control::handle::ControlQuestions;
+use crate::control::handle::Question;
+use crate::control::home_manager::HomeManager;
+use crate::control::home_manager::map_address;
 use crate::fleet::change::Change;
-use crate::fleet::change::Operation;
-use crate::fleet::change_log::AppendOutcome;
 use crate::fleet::change_log::ChangeLog;
-use crate::fleet::homes::homes_of;
 use crate::peer::pool::PeerPool;
-use crate::peer::rpc::DaemonReport;
-use crate::peer::rpc::ExchangeAnswer;
 use crate::peer::rpc::ExchangeRequest;
-use crate::peer::rpc::GroupReport;
-use crate::peer::rpc::MemberReport;
-use crate::peer::rpc::WorkspaceReport;
 use crate::relay::relay_server::RelayServer;
 use crate::settings::daemon_settings::DaemonSettings;
 use crate::traffic::context::TrafficContext;
@@ -65,92 +58,6 @@
 /// Most changes read from the table at one time; fewer mean that its end was reached.
 const READ_LIMIT: usize = 200;
 
-/// What the control thread is asked.
-enum Question {
-    Exchange(ExchangeRequest, oneshot::Sender<ExchangeAnswer>),
-    Report(oneshot::Sender<DaemonReport>),
-    Change(ChangeRequest, oneshot::Sender<Result<ChangeReceipt, ChangeError>>),
-    History(u64, oneshot::Sender<Vec<Change>>),
-    MoveHere(String, String, oneshot::Sender<Result<String, String>>),
-    MoveAnywhere(String, String, oneshot::Sender<Result<String, String>>),
-    Reports(oneshot::Sender<Vec<(String, Option<DaemonReport>)>>),
-    Drain,
-}
-
-/// Way to the control thread.
-#[derive(Clone)]
-pub struct ControlHandle {
-    questions: mpsc::Sender<Question>,
-}
-
-impl ControlHandle {
-    async fn ask<Answer, Make>(&self, make: Make) -> Option<Answer>
-    where
-        Make: FnOnce(oneshot::Sender<Answer>) -> Question,
-    {
-        let (sender, receiver) = oneshot::channel();
-        self.questions.send(make(sender)).await.ok()?;
-        receiver.await.ok()
-    }
-
-    /// Answers another daemon.
-    pub async fn exchange(&self, request: ExchangeRequest) -> Option<ExchangeAnswer> {
-        self.ask(|sender| Question::Exchange(request, sender)).await
-    }
-
-    /// Reports on this daemon.
-    pub async fn report(&self) -> Option<DaemonReport> {
-        self.ask(Question::Report).await
-    }
-
-    /// Reports on all daemons; one that does not answer has none.
-    pub async fn reports(&self) -> Vec<(String, Option<DaemonReport>)> {
-        self.ask(Question::Reports).await.unwrap_or_default()
-    }
-
-    /// Makes a change of the configuration.
-    ///
-    /// # Errors
-    ///
-    /// Returns why it did not take place.
-    pub async fn change(&self, request: ChangeRequest) -> Result<ChangeReceipt, ChangeError> {
-        let answer = self.ask(|sender| Question::Change(request, sender)).await;
-        let stopped = || Err(ChangeError::TableUnavailable("the daemon stops".to_owned()));
-        answer.unwrap_or_else(stopped)
-    }
-
-    /// Returns changes after a version, oldest first.
-    pub async fn history(&self, after_version: u64) -> Vec<Change> {
-        let answer = self.ask(|sender| Question::History(after_version, sender)).await;
-        answer.unwrap_or_default()
-    }
-
-    /// Moves a group's primary, if this daemon is a home of the group.
-    ///
-    /// # Errors
-    ///
-    /// Returns a sentence when it was not moved.
-    pub async fn move_primary_here(&self, group: String, member: String) -> Result<String, String> {
-        let answer = self.ask(|sender| Question::MoveHere(group, member, sender)).await;
-        answer.unwrap_or_else(|| Err("the daemon stops".to_owned()))
-    }
-
-    /// Moves a group's primary by way of one of its homes.
-    ///
-    /// # Errors
-    ///
-    /// Returns a sentence when it was not moved.
-    pub async fn move_primary(&self, group: String, member: String) -> Result<String, String> {
-        let answer = self.ask(|sender| Question::MoveAnywhere(group, member, sender)).await;
-        answer.unwrap_or_else(|| Err("the daemon stops".to_owned()))
-    }
-
-    /// Starts a planned stop of this daemon.
-    pub async fn drain(&self) {
-        let _ = self.questions.send(Question::Drain).await;
-    }
-}
-
 /// What the control thread needs.
 pub struct ControlParts {
     /// Settings of the daemon.
@@ -188,15 +95,6 @@
     proposing: RefCell<bool>,
 }
 
-/// Creates the way to a control thread that is not running yet.
-pub fn channel() -> (ControlHandle, ControlQuestions) {
-    let (sender, receiver) = mpsc::channel(1_000);
-    (ControlHandle { questions: sender }, ControlQuestions(receiver))
-}
-
-/// The control thread's end of its questions.
-pub struct ControlQuestions(mpsc::Receiver<Question>);
-
 /// Runs the control thread until the daemon has stopped.
 ///
 /// # Panics
@@ -329,116 +227,6 @@
         }
     }
 
-    async fn propose(self: Rc<Self>, hosts: BTreeMap<String, u64>, version: u64) {
-        if self.proposing.replace(true) {
-            return;
-        }
-        let request = ChangeRequest {
-            operation: Operation::StartGeneration { hosts },
-            expected_version: Some(version),
-            who: format!("daemon {}", self.parts.settings.name),
-            why: "the daemons in service changed".to_owned(),
-        };
-        // Another daemon that came first has most likely proposed the same.
-        if let Err(error) = self.commit(&request).await {
-            log::debug!(event = "generation_not_started", reason = error.to_string(); "");
-        }
-        self.proposing.replace(false);
-    }
-
-    /// Appends a change to the log and applies it here.
-    async fn commit(self: &Rc<Self>, request: &ChangeRequest) -> Result<u64, ChangeError> {
-        let mut tries = 0;
-        loop {
-            tries += 1;
-            let fleet = self.core.borrow().fleet();
-            if let Some(expected) = request.expected_version
-                && expected != fleet.version
-            {
-                return Err(self.overtaken(expected + 1));
-            }
-            fleet.check(&request.operation).map_err(ChangeError::Invalid)?;
-            let change = new_change(request, fleet.version);
-            match self.append(&change).await? {
-                AppendOutcome::Committed => {
-                    log::info!(
-                        event = "change_committed",
-                        version = change.version,
-                        who = change.who,
-                        what = change.operation.to_string();
-                        ""
-                    );
-                    let version = change.version;
-                    self.clone().step(Event::Committed(change));
-                    return Ok(version);
-                }
-                AppendOutcome::Taken(winner) => {
-                    let is_conditional = request.expected_version.is_some();
-                    let lost = ChangeError::Overtaken {
-                        version: winner.version,
-                        who: winner.who.clone(),
-                        what: winner.operation.to_string(),
-                    };
-                    self.clone().step(Event::Committed(*winner));
-                    if is_conditional || tries >= OVERTAKEN_TRIES {
-                        return Err(lost);
-                    }
-                }
-            }
-        }
-    }
-
-    fn overtaken(&self, version: u64) -> ChangeError {
-        let core = self.core.borrow();
-        let winner = core.changes().find(|change| change.version == version);
-        ChangeError::Overtaken {
-            version,
-            who: winner.map_or_else(|| "nobody yet".to_owned(), |change| change.who.clone()),
-            what: winner.map_or_else(
-                || format!("the configuration has version {}", version - 1),
-                |change| change.operation.to_string(),
-            ),
-        }
-    }
-
-    /// Appends a change; a lost answer is asked for again, which the change's id makes safe.
-    async fn append(&self, change: &Change) -> Result<AppendOutcome, ChangeError> {
-        let mut reason = String::new();
-        for _ in 0..APPEND_TRIES {
-            match self.parts.log.append(change).await {
-                Ok(outcome) => return Ok(outcome),
-                Err(error) => reason = error.to_string(),
-            }
-        }
-        Err(ChangeError::TableUnavailable(reason))
-    }
-
-    async fn change(
-        self: Rc<Self>,
-        request: ChangeRequest,
-        answer: oneshot::Sender<Result<ChangeReceipt, ChangeError>>,
-    ) {
-        let outcome = match self.commit(&request).await {
-            Ok(version) => Ok(self.await_acceptance(version).await),
-            Err(error) => Err(error),
-        };
-        let _ = answer.send(outcome);
-    }
-
-    async fn await_acceptance(&self, version: u64) -> ChangeReceipt {
-        let deadline = tokio::time::Instant::now() + ACCEPT_TIMEOUT;
-        while !self.core.borrow().is_accepted(version) && tokio::time::Instant::now() < deadline {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        let core = self.core.borrow();
-        ChangeReceipt {
-            version,
-            is_accepted: core.is_accepted(version),
-            in_force_on: core.hosts_at(version),
-            hosts: core.fleet().hosts().len() as u64,
-        }
-    }
-
     fn publish(self: Rc<Self>) {
         let (fleet, slots) = {
             let core = self.core.borrow();
@@ -576,135 +364,4 @@
             Question::Drain => drop(self.is_stop_asked.replace(true)),
         }
     }
-
-    async fn move_here(&self, group: &str, member: &str) -> Result<String, String> {
-        let driver = self.failovers.borrow().get(group).map(|(driver, _)| driver.clone());
-        let driver = driver.ok_or_else(|| format!("this daemon is no home of group {group}"))?;
-        let before = driver.home().prober().view().primary();
-        driver.ask_move(member)?;
-        let deadline = tokio::time::Instant::now() + MOVE_TIMEOUT;
-        while tokio::time::Instant::now() < deadline {
-            let view = driver.home().prober().view();
-            let options = driver.home().options();
-            let name = |index: usize| options.members[index].name.to_string();
-            if let Some(primary) = view.primary()
-                && (Some(primary) != before || name(primary) == member)
-            {
-                return Ok(name(primary));
-            }
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-        Err(format!("the primary of group {group} did not move in time"))
-    }
-
-    async fn move_anywhere(&self, group: String, member: String) -> Result<String, String> {
-        let fleet = self.core.borrow().fleet();
-        let mut last = format!("group {group} has no home");
-        for home in homes_of(&fleet, &group) {
-            if home == self.parts.settings.name {
-                return self.move_here(&group, &member).await;
-            }
-            let Some(address) = self.peer_address(&home) else {
-                continue;
-            };
-            let (group, member) = (group.clone(), member.clone());
-            let call = |client: crate::peer::rpc::PeerRpcClient,
-                        mut context: tarpc::context::Context| {
-                context.deadline = std::time::Instant::now() + MOVE_TIMEOUT;
-                async move { client.move_primary(context, group, member).await }
-            };
-            match self.parts.peers.call_within(address, MOVE_TIMEOUT, call).await {
-                Some(answer) => return answer,
-                None => last = format!("home {home} gives no answer"),
-            }
-        }
-        Err(last)
-    }
-
-    async fn reports(self: Rc<Self>, answer: oneshot::Sender<Vec<(String, Option<DaemonReport>)>>) {
-        let own = self.parts.settings.name.clone();
-        let others = self.core.borrow().other_hosts();
-        let asking = others.into_iter().map(|peer| {
-            let driver = self.clone();
-            async move {
-                let Some(address) = driver.peer_address(&peer) else {
-                    return (peer, None);
-                };
-                let call = |client: crate::peer::rpc::PeerRpcClient, context| async move {
-                    client.report(context).await
-                };
-                let report = driver.parts.peers.call(address, call).await.flatten();
-                (peer, report)
-            }
-        });
-        let mut reports = futures::future::join_all(asking).await;
-        reports.push((own, Some(self.report())));
-        reports.sort_by(|left, right| left.0.cmp(&right.0));
-        let _ = answer.send(reports);
-    }
-
-    fn report(&self) -> DaemonReport {
-        let core = self.core.borrow();
-        let now_ms = clock::now_ms();
-        let failovers = self.failovers.borrow();
-        let groups = failovers.iter().map(|(name, (driver, _))| group_report(name, driver, &core));
-        let workspaces = self.parts.traffic.limiter.workspaces();
-        let workspace = |(name, limiter): (&crate::name::Name, &Arc<_>)| {
-            let limiter: &Arc<crate::limit::rate_limiter::WorkspaceLimiter> = limiter;
-            WorkspaceReport {
-                name: name.to_string(),
-                share_ppm: core.share_ppm(name),
-                reading: limiter.meter.reading(),
-            }
-        };
-        DaemonReport {
-            host: self.parts.settings.name.clone(),
-            data_centre: self.parts.settings.data_centre.clone(),
-            incarnation: self.parts.incarnation,
-            version: core.fleet().version,
-            state: self.life.borrow().state().to_owned(),
-            is_table_reachable: core.is_table_reachable(now_ms),
-            lease_left_ms: core.standing_until_ms(now_ms).saturating_sub(now_ms),
-            generation: core.generation(),
-            callers: self.parts.traffic.cancels.len() as u64,
-            groups: groups.collect(),
-            workspaces: workspaces.iter().map(workspace).collect(),
-        }
-    }
-}
-
-fn group_report(name: &str, driver: &FailoverDriver, core: &ControlCore) -> GroupReport {
-    let view = driver.home().prober().view();
-    let options = driver.home().options();
-    let usage = driver.home().usage();
-    let last =
-        (0..view.len()).filter_map(|index| view.status(index)).map(|status| status.held).max();
-    let last = last.unwrap_or_default();
-    let fleet = core.fleet();
-    let data_centre = |member: &str| {
-        let members = fleet.group(name).map(|group| group.members.as_slice()).unwrap_or_default();
-        let found = members.iter().find(|known| known.name == member);
-        found.map(|known| known.data_centre.clone()).unwrap_or_default()
-    };
-    let member = |(index, known): (usize, &crate::group::group_home::HomeMember)| {
-        let status = view.status(index).unwrap_or_default();
-        MemberReport {
-            name: known.name.to_string(),
-            data_centre: data_centre(&known.name),
-            is_reachable: view.is_reachable(index),
-            is_leaving: known.is_leaving,
-            applied: status.applied.to_string(),
-            behind: last.position.saturating_sub(status.applied.position),
-        }
-    };
-    GroupReport {
-        name: name.to_owned(),
-        primary: view.primary().map(|index| options.members[index].name.to_string()),
-        term: view.highest_term(),
-        members: options.members.iter().enumerate().map(member).collect(),
-        slots: usage.limit as u64,
-        in_use: usage.in_use as u64,
-        waiting: usage.waiting as u64,
-        failover_state: driver.state(),
-    }
 }
--- /dev/null
+++ b/src/control/driver/moves.rs
@@ -0,0 +1,57 @@
+//! Planned changes of primary that operators ask for.
+
+use std::time::Duration;
+
+use super::Driver;
+use super::MOVE_TIMEOUT;
+use crate::fleet::homes::homes_of;
+
+impl Driver {
+    pub(super) async fn move_here(&self, group: &str, member: &str) -> Result<String, String> {
+        let driver = self.failovers.borrow().get(group).map(|(driver, _)| driver.clone());
+        let driver = driver.ok_or_else(|| format!("this daemon is no home of group {group}"))?;
+        let before = driver.home().prober().view().primary();
+        driver.ask_move(member)?;
+        let deadline = tokio::time::Instant::now() + MOVE_TIMEOUT;
+        while tokio::time::Instant::now() < deadline {
+            let view = driver.home().prober().view();
+            let options = driver.home().options();
+            let name = |index: usize| options.members[index].name.to_string();
+            if let Some(primary) = view.primary()
+                && (Some(primary) != before || name(primary) == member)
+            {
+                return Ok(name(primary));
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Err(format!("the primary of group {group} did not move in time"))
+    }
+
+    pub(super) async fn move_anywhere(
+        &self,
+        group: String,
+        member: String,
+    ) -> Result<String, String> {
+        let fleet = self.core.borrow().fleet();
+        let mut last = format!("group {group} has no home");
+        for home in homes_of(&fleet, &group) {
+            if home == self.parts.settings.name {
+                return self.move_here(&group, &member).await;
+            }
+            let Some(address) = self.peer_address(&home) else {
+                continue;
+            };
+            let (group, member) = (group.clone(), member.clone());
+            let call = |client: crate::peer::rpc::PeerRpcClient,
+                        mut context: tarpc::context::Context| {
+                context.deadline = std::time::Instant::now() + MOVE_TIMEOUT;
+                async move { client.move_primary(context, group, member).await }
+            };
+            match self.parts.peers.call_within(address, MOVE_TIMEOUT, call).await {
+                Some(answer) => return answer,
+                None => last = format!("home {home} gives no answer"),
+            }
+        }
+        Err(last)
+    }
+}
--- a/src/control/share_ledger.rs
+++ b/src/control/share_ledger.rs
@@ -121,10 +121,11 @@
         }
     }
 
-    /// Notes the demand of callers here.
+    /// Notes the demand of callers here. A rise counts at once, a fall by halves.
     pub fn note_demand(&mut self, workspace: &str, demand_per_s: f64) {
         if let Some(share) = self.shares.get_mut(workspace) {
-            share.demand_per_s = (share.demand_per_s + demand_per_s) / 2.0;
+            let smoothed = (share.demand_per_s + demand_per_s) / 2.0;
+            share.demand_per_s = smoothed.max(demand_per_s);
         }
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,8 +15,9 @@
 use crate::caller::token::TokenSigner;
 use crate::clock;
 use crate::control::driver;
-use crate::control::driver::ControlHandle;
 use crate::control::driver::ControlParts;
+use crate::control::handle;
+use crate::control::handle::ControlHandle;
 use crate::control::home_manager::map_address;
 use crate::fleet::change_log::ChangeLog;
 use crate::group::access::AccessTable;
@@ -90,7 +91,7 @@
         let traffic = Arc::new(traffic_context(&settings, snapshot, &peers, &stop)?);
         let relay = RelayServer::new(&settings.shared_secret, stop.clone(), tasks.clone());
         tasks.spawn(relay.clone().serve(relay_listener));
-        let (control, questions) = driver::channel();
+        let (control, questions) = handle::channel();
         let peer_context = PeerContext {
             secret: settings.shared_secret.to_string(),
             control: control.clone(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -9,7 +9,7 @@
 use cadence::UdpMetricSink;
 use tokio_util::sync::CancellationToken;
 
-use crate::control::driver::ControlHandle;
+use crate::control::handle::ControlHandle;
 use crate::peer::rpc::DaemonReport;
 
 /// Time between two reports.
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -16,7 +16,7 @@
 use super::api::OperatorApiServer;
 use super::auth_layer::OperatorAuthLayer;
 use super::status::FleetStatus;
-use crate::control::driver::ControlHandle;
+use crate::control::handle::ControlHandle;
 use crate::control::operate::ChangeReceipt;
 use crate::control::operate::ChangeRequest;
 use crate::fleet::change::Change;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -18,7 +18,7 @@
 use super::rpc::ExchangeAnswer;
 use super::rpc::ExchangeRequest;
 use super::rpc::PeerRpc;
-use crate::control::driver::ControlHandle;
+use crate::control::handle::ControlHandle;
 use crate::traffic::cancel_registry::CancelKey;
 use crate::traffic::context::TrafficContext;
 
--- a/src/stand_in/member.rs
+++ b/src/stand_in/member.rs
@@ -6,9 +6,11 @@
 
 pub mod control_call;
 pub mod core;
+mod parameter;
 pub mod replication;
 pub mod result_set;
 pub mod session;
+pub mod session_registry;
 pub mod statement;
 pub mod store;
 
@@ -29,7 +31,7 @@
 
 use self::core::MemberCore;
 use self::session::Session;
-use self::session::SessionRegistry;
+use self::session_registry::SessionRegistry;
 use self::store::Store;
 use crate::wire::sql_error::SqlError;
 use crate::wire::sql_state;
--- a/src/stand_in/member/session.rs
+++ b/src/stand_in/member/session.rs
@@ -1,8 +1,9 @@
 //! A PostgreSQL session on a member.
 
+mod control;
+
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -35,17 +36,17 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
-use super::Member;
-use super::control_call::ControlCall;
-use super::core::MemberStatus;
-use super::lock;
-use super::result_set;
-use super::result_set::Column;
-use super::statement;
-use super::statement::LoggedStatement;
-use super::statement::LoggedValue;
-use super::statement::MemberStatement;
-use super::statement::StatementKind;
+use self::control::status_columns;
+use crate::stand_in::member::Member;
+use crate::stand_in::member::lock;
+use crate::stand_in::member::parameter::decode_parameter;
+use crate::stand_in::member::parameter::to_logged;
+use crate::stand_in::member::result_set;
+use crate::stand_in::member::session_registry::CancelHandle;
+use crate::stand_in::member::statement;
+use crate::stand_in::member::statement::LoggedStatement;
+use crate::stand_in::member::statement::MemberStatement;
+use crate::stand_in::member::statement::StatementKind;
 use crate::wire::frontend_codec::FrontendCodec;
 use crate::wire::sql_error::SqlError;
 use crate::wire::sql_state;
@@ -59,58 +60,6 @@
 
 type Wire = Framed<TcpStream, FrontendCodec>;
 
-/// Sessions that can be cancelled, with their count.
-#[derive(Default)]
-pub struct SessionRegistry {
-    state: Mutex<RegistryState>,
-}
-
-#[derive(Default)]
-struct RegistryState {
-    cancels: HashMap<i32, CancelHandle>,
-    peak: usize,
-}
-
-struct CancelHandle {
-    secret: i32,
-    is_cancelled: Arc<AtomicBool>,
-    interrupt: rusqlite::InterruptHandle,
-}
-
-impl SessionRegistry {
-    /// Returns how many sessions are open.
-    pub fn len(&self) -> usize {
-        lock(&self.state).cancels.len()
-    }
-
-    /// Returns whether no session is open.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    /// Returns the most sessions that were ever open at one time.
-    pub fn peak(&self) -> usize {
-        lock(&self.state).peak
-    }
-
-    fn add(&self, process_id: i32, handle: CancelHandle) {
-        let mut state = lock(&self.state);
-        state.cancels.insert(process_id, handle);
-        state.peak = state.peak.max(state.cancels.len());
-    }
-
-    fn cancel(&self, process_id: i32, secret: &SecretKey) {
-        let state = lock(&self.state);
-        let Some(handle) = state.cancels.get(&process_id) else {
-            return;
-        };
-        if *secret == SecretKey::I32(handle.secret) {
-            handle.is_cancelled.store(true, Ordering::SeqCst);
-            handle.interrupt.interrupt();
-        }
-    }
-}
-
 struct Prepared {
     statement: Option<MemberStatement>,
     type_oids: Vec<u32>,
@@ -146,7 +95,7 @@
 impl Drop for Session {
     fn drop(&mut self) {
         self.abandon();
-        lock(&self.member.registry.state).cancels.remove(&self.process_id);
+        self.member.registry.remove(self.process_id);
     }
 }
 
@@ -628,72 +577,6 @@
             "the member has made its data anew; connect again",
         ))
     }
-
-    fn control(
-        &mut self,
-        call: &ControlCall,
-        replies: &mut Vec<Reply>,
-    ) -> Result<String, SqlError> {
-        let mut is_granted = true;
-        match call {
-            ControlCall::Status => {}
-            ControlCall::AcceptTerm { term, promoter } => {
-                is_granted = lock(&self.member.core).accept_term(*term, promoter);
-                self.member.changed.notify_waiters();
-            }
-            ControlCall::Promote { term, promoter } => self.member.promote(*term, promoter)?,
-            ControlCall::StepDown { term } => is_granted = self.step_down(*term),
-            ControlCall::Resume { term } => {
-                let mut core = lock(&self.member.core);
-                if core.accepted_term() == *term {
-                    core.is_stepping_down = false;
-                }
-            }
-            ControlCall::WaitApplied { term, position, timeout_ms } => {
-                let timeout = Duration::from_millis(*timeout_ms);
-                is_granted = self.wait_applied((*term, *position), timeout);
-            }
-        }
-        let status = self.member.status();
-        replies.push(result_set::row_description(&status_columns()));
-        replies.push(result_set::text_row(&status_values(&status, is_granted)));
-        Ok("CALL".to_owned())
-    }
-
-    fn step_down(&self, term: u64) -> bool {
-        let deadline = Instant::now() + STEP_DOWN_TIMEOUT;
-        loop {
-            {
-                let mut core = lock(&self.member.core);
-                if !core.is_primary() || core.accepted_term() != term {
-                    return false;
-                }
-                core.is_stepping_down = true;
-                if core.open_writes == 0 {
-                    return true;
-                }
-                if Instant::now() >= deadline {
-                    core.is_stepping_down = false;
-                    return false;
-                }
-            }
-            std::thread::sleep(POLL_INTERVAL);
-        }
-    }
-
-    fn wait_applied(&self, floor: (u64, u64), timeout: Duration) -> bool {
-        let deadline = Instant::now() + timeout;
-        loop {
-            let status = self.member.status();
-            if (status.applied_term, status.applied_position) >= floor {
-                return true;
-            }
-            if Instant::now() >= deadline {
-                return false;
-            }
-            std::thread::sleep(POLL_INTERVAL);
-        }
-    }
 }
 
 fn open_data(
@@ -706,32 +589,6 @@
     Ok((connection, store.keep()))
 }
 
-fn status_columns() -> Vec<Column> {
-    result_set::text_columns(&[
-        "is_granted",
-        "is_primary",
-        "accepted_term",
-        "last_term",
-        "last_position",
-        "applied_term",
-        "applied_position",
-        "primary_silent_ms",
-    ])
-}
-
-fn status_values(status: &MemberStatus, is_granted: bool) -> Vec<String> {
-    vec![
-        is_granted.to_string(),
-        status.is_primary.to_string(),
-        status.accepted_term.to_string(),
-        status.last_term.to_string(),
-        status.last_position.to_string(),
-        status.applied_term.to_string(),
-        status.applied_position.to_string(),
-        status.primary_silent_ms.to_string(),
-    ]
-}
-
 /// Adds `pg_sleep(seconds)`, which ends early when the session is cancelled.
 fn add_functions(connection: &Connection, is_cancelled: Arc<AtomicBool>) -> rusqlite::Result<()> {
     let flags = FunctionFlags::SQLITE_UTF8;
@@ -784,44 +641,6 @@
     })
 }
 
-fn decode_parameter(bytes: Option<&[u8]>, format: i16, oid: u32) -> Value {
-    let Some(bytes) = bytes else {
-        return Value::Null;
-    };
-    if format == 1 {
-        return decode_binary(bytes, oid);
-    }
-    let text = String::from_utf8_lossy(bytes).into_owned();
-    match oid {
-        20 | 21 | 23 => text.parse().map_or(Value::Text(text), Value::Integer),
-        700 | 701 => text.parse().map_or(Value::Text(text), Value::Real),
-        _ => Value::Text(text),
-    }
-}
-
-fn decode_binary(bytes: &[u8], oid: u32) -> Value {
-    match (oid, bytes) {
-        (20, _) if bytes.len() == 8 => {
-            Value::Integer(bytes.iter().fold(0, |sum, byte| sum << 8 | i64::from(*byte)))
-        }
-        (23, [a, b, c, d]) => Value::Integer(i32::from_be_bytes([*a, *b, *c, *d]).into()),
-        (21, [a, b]) => Value::Integer(i16::from_be_bytes([*a, *b]).into()),
-        (16, [flag]) => Value::Integer((*flag).into()),
-        (17, _) => Value::Blob(bytes.to_vec()),
-        _ => Value::Text(String::from_utf8_lossy(bytes).into_owned()),
-    }
-}
-
-fn to_logged(value: &Value) -> LoggedValue {
-    match value {
-        Value::Null => LoggedValue::Null,
-        Value::Integer(number) => LoggedValue::Integer(*number),
-        Value::Real(number) => LoggedValue::Real(*number),
-        Value::Text(text) => LoggedValue::Text(text.clone()),
-        Value::Blob(bytes) => LoggedValue::Blob(bytes.clone()),
-    }
-}
-
 fn unknown_name(name: &str) -> SqlError {
     SqlError::new(
         sql_state::UNKNOWN_STATEMENT,
--- a/tests/integration/decisions/settings.rs
+++ b/tests/integration/decisions/settings.rs
@@ -4,6 +4,7 @@
 
 use insta::assert_snapshot;
 use proptest::prelude::*;
+use sha2::Digest;
 
 use snipehead::client::commands::check_text;
 
@@ -42,6 +43,25 @@
     assert_snapshot!(report);
 }
 
+#[test]
+fn generated_types_are_those_of_the_schemas() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let read = |path: &str| std::fs::read(root.join(path)).expect("readable");
+    let list: serde_json::Value =
+        serde_json::from_slice(&read("schemas/generated.json")).expect("a list");
+    for entry in list.as_array().expect("a list") {
+        for field in ["schema", "generated"] {
+            let path = entry[field].as_str().expect("a path");
+            let digest = hex::encode(sha2::Sha256::digest(read(path)));
+            let noted = entry[format!("{field}_sha256")].as_str().expect("a digest");
+            assert_eq!(
+                digest, noted,
+                "{path} changed: generate the types anew, see CONTRIBUTING.md"
+            );
+        }
+    }
+}
+
 #[test]
 fn secrets_are_never_shown_in_findings() {
     let text = include_str!("../data/invalid/short-secret.json");
