Keep no idle connection to a member that takes no new work

A connection in use when its member left was kept for reuse afterwards. Change: such a connection is closed when its request ends. Ruled out: new work after the member had left (the count did not grow); not shown by a trace.

--- a/src/group/group_home.rs
+++ b/src/group/group_home.rs
@@ -216,9 +216,11 @@
         SqlError::new(sql_state::NOT_RUN, message).with_hint("Try again in 1 s.")
     }
 
-    /// Keeps a connection whose state is known for the next request.
+    /// Keeps a connection whose state is known for the next request, unless its member takes none.
     pub(super) fn keep_idle(&self, member: usize, connection: MemberConnection) {
-        self.pool.keep_idle(member, connection);
+        if !self.options().members[member].is_leaving {
+            self.pool.keep_idle(member, connection);
+        }
     }
 
     /// Counts a request that starts to run on a member.
