Wait out the accepted age before reads of it

Change: the test waits longer than the age after making the table; its checks and bounds are the same. Ruled out: a read older than accepted (the table was younger than the age).

--- a/tests/integration/reads.rs
+++ b/tests/integration/reads.rs
@@ -92,6 +92,8 @@
     let cluster = Cluster::start(3).await;
     let writer = cluster.connect(0).await;
     writer.done("CREATE TABLE closures (id BIGINT, state TEXT)").await;
+    // Data of the accepted age may be from before the table was made.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
     (1..3).for_each(|replica| cluster.member(replica).set_apply_lag_ms(1_500));
     let reader = cluster.try_connect(1, "-c snipehead.max_age_ms=3000").await.expect("admitted");
     let mut written = Vec::new();
