--- /dev/null
+++ b/core/src/configuration_watch.rs
@@ -0,0 +1,76 @@
+//! The newest known configuration, and how fresh that knowledge is.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use tokio::sync::watch;
+
+use crate::configuration::Configuration;
+use crate::sync::lock;
+
+/// A configuration with the moment as of which it is known to be the newest.
+#[derive(Clone, Debug)]
+pub struct KnownConfiguration {
+    /// The configuration.
+    pub configuration: Arc<Configuration>,
+    /// Moment at which the call was sent that proved it to be the newest, in milliseconds of the
+    /// clock that counts suspended time.
+    pub proven_at_ms: u64,
+}
+
+/// Shares the newest configuration among the tasks of a node.
+pub struct ConfigurationWatch {
+    known: Mutex<Option<KnownConfiguration>>,
+    changes: watch::Sender<u64>,
+}
+
+impl Default for ConfigurationWatch {
+    fn default() -> Self {
+        Self { known: Mutex::default(), changes: watch::Sender::new(0) }
+    }
+}
+
+impl ConfigurationWatch {
+    /// Takes note of a configuration that was read in a call sent at `sent_at_ms`. Older versions
+    /// than the known one are ignored. Returns whether anything changed.
+    pub fn learn(&self, configuration: Configuration, sent_at_ms: u64) -> bool {
+        let mut known = lock(&self.known);
+        let present = known.as_ref().map(|known| known.configuration.clone());
+        let present_version = present.as_ref().map_or(0, |present| present.version);
+        if configuration.version < present_version {
+            return false;
+        }
+        let is_change = present.as_deref() != Some(&configuration);
+        let proven_at_ms = known.as_ref().map_or(0, |known| known.proven_at_ms).max(sent_at_ms);
+        let configuration = match present {
+            Some(present) if !is_change => present,
+            _ => Arc::new(configuration),
+        };
+        let version = configuration.version;
+        *known = Some(KnownConfiguration { configuration, proven_at_ms });
+        drop(known);
+        if is_change {
+            self.changes.send_replace(version);
+        }
+        is_change
+    }
+
+    /// Notes that a peer proved `version` to be the newest as of `proven_at_ms`.
+    pub fn confirm(&self, version: u64, proven_at_ms: u64) {
+        if let Some(known) = lock(&self.known).as_mut()
+            && known.configuration.version == version
+        {
+            known.proven_at_ms = known.proven_at_ms.max(proven_at_ms);
+        }
+    }
+
+    /// Returns the newest configuration, if any is known.
+    pub fn known(&self) -> Option<KnownConfiguration> {
+        lock(&self.known).clone()
+    }
+
+    /// Returns a receiver that sees each change.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
--- /dev/null
+++ b/core/src/lease_book.rs
@@ -0,0 +1,308 @@
+//! Who may own which service, free of input and output.
+//!
+//! A lease is a record in the store that its holder renews under a condition. The holder counts
+//! from the moment at which it sent the renewal; a taker counts from the moment at which it first
+//! saw the record's present version. Both use a clock that counts suspended time, so a taker never
+//! overlaps with a holder that checks before it acts.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name::Name;
+
+/// Validity of a lease after its renewal was sent, in milliseconds: bounds how long the sessions
+/// of a service wait when its owner goes dark.
+pub const LEASE_MS: u64 = 3_000;
+
+/// Time that a taker waits beyond the validity, in milliseconds: covers the drift of two clocks.
+pub const TAKEOVER_MARGIN_MS: u64 = 200;
+
+/// Time between two renewals, in milliseconds: three may fail before the lease lapses.
+pub const RENEW_INTERVAL_MS: u64 = 800;
+
+/// Time between two renewals after one failed, in milliseconds.
+const RENEW_RETRY_MS: u64 = 250;
+
+/// Head start of each better placed candidate, in milliseconds: longer than a conditional write.
+const RANK_DELAY_MS: u64 = 150;
+
+/// Head start of the heir that a released lease names, in milliseconds.
+const HEIR_DELAY_MS: u64 = 400;
+
+/// Renewals whose sending time is remembered.
+const KEPT_RENEWALS: usize = 32;
+
+/// The record of a lease in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Name of the holder's node.
+    pub holder: Name,
+    /// Where other nodes reach the holder.
+    pub address: SocketAddr,
+    /// Identity of the holder's process.
+    pub incarnation: u64,
+    /// Number of the holder's write; each write has its own.
+    pub renewal: u64,
+    /// Whether the holder has stopped acting.
+    pub is_released: bool,
+    /// Node that should take a released lease.
+    pub heir: Option<Name>,
+    /// Member whose promotion has been ordered and is not known to be over.
+    pub pending_promotion: Option<Name>,
+}
+
+/// The process that keeps a book.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of its node.
+    pub node: Name,
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// Identity of the process.
+    pub incarnation: u64,
+}
+
+/// A conditional write to make.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeaseWrite {
+    /// Service whose lease it is.
+    pub service: Name,
+    /// The record to write.
+    pub record: LeaseRecord,
+    /// Version that the present record must have.
+    pub expected: u64,
+}
+
+/// A lease as this process knows it.
+#[derive(Clone, Debug, Default)]
+struct Lease {
+    record: Option<LeaseRecord>,
+    version: u64,
+    /// When this version was first seen.
+    seen_at_ms: u64,
+    /// Version with which this process acquired the lease.
+    acquired_version: Option<u64>,
+    valid_until_ms: u64,
+    sent: VecDeque<(u64, u64)>,
+    next_try_ms: u64,
+    is_giving_up: bool,
+    is_offered: bool,
+    pending_promotion: Option<Name>,
+}
+
+/// All leases, as one process knows them.
+#[derive(Debug)]
+pub struct LeaseBook {
+    me: Identity,
+    leases: HashMap<Name, Lease>,
+    next_renewal: u64,
+}
+
+impl LeaseBook {
+    /// Creates a book that knows no lease.
+    pub fn new(me: Identity) -> Self {
+        Self { me, leases: HashMap::new(), next_renewal: 1 }
+    }
+
+    /// Takes note of a record that was read in a call which was sent at `sent_at_ms`.
+    pub fn observe(
+        &mut self,
+        now_ms: u64,
+        service: &Name,
+        record: Option<LeaseRecord>,
+        version: u64,
+    ) {
+        let is_new = !self.leases.contains_key(service);
+        let lease = self.leases.entry(service.clone()).or_default();
+        if !is_new && version <= lease.version {
+            return;
+        }
+        let is_mine = record
+            .as_ref()
+            .is_some_and(|record| record.incarnation == self.me.incarnation && !record.is_released);
+        lease.version = version;
+        lease.seen_at_ms = now_ms;
+        lease.is_offered = false;
+        lease.next_try_ms = 0;
+        match (is_mine, &record) {
+            (true, Some(record)) => {
+                if lease.acquired_version.is_none() {
+                    lease.acquired_version = Some(version);
+                    lease.pending_promotion.clone_from(&record.pending_promotion);
+                }
+                let sent = lease.sent.iter().find(|(renewal, _)| *renewal == record.renewal);
+                let sent_at_ms = sent.map_or(0, |(_, at_ms)| *at_ms);
+                lease.valid_until_ms = lease.valid_until_ms.max(sent_at_ms + LEASE_MS);
+                lease.next_try_ms = sent_at_ms + RENEW_INTERVAL_MS;
+            }
+            _ => {
+                lease.acquired_version = None;
+                lease.valid_until_ms = 0;
+                lease.is_giving_up = false;
+            }
+        }
+        lease.record = record;
+    }
+
+    /// Allows this process to take a lease that its holder offered to it at `version`.
+    pub fn accept_offer(&mut self, now_ms: u64, service: &Name, record: LeaseRecord, version: u64) {
+        self.observe(now_ms, service, Some(record), version);
+        if let Some(lease) = self.leases.get_mut(service)
+            && lease.version == version
+        {
+            lease.is_offered = true;
+            lease.next_try_ms = 0;
+        }
+    }
+
+    /// Returns the writes that are due. `rank` is this node's place among the candidates for a
+    /// service, 0 for the best, and `None` if it should not own it.
+    pub fn due<Rank>(&mut self, now_ms: u64, services: &[Name], rank: Rank) -> Vec<LeaseWrite>
+    where
+        Rank: Fn(&Name) -> Option<u64>,
+    {
+        services.iter().filter_map(|service| self.due_write(now_ms, service, &rank)).collect()
+    }
+
+    fn due_write<Rank>(&mut self, now_ms: u64, service: &Name, rank: &Rank) -> Option<LeaseWrite>
+    where
+        Rank: Fn(&Name) -> Option<u64>,
+    {
+        let lease = self.leases.get(service)?;
+        if now_ms < lease.next_try_ms || lease.is_giving_up {
+            return None;
+        }
+        let may_write = match &lease.record {
+            Some(record) if record.incarnation == self.me.incarnation && !record.is_released => {
+                true
+            }
+            _ if lease.is_offered => true,
+            record => now_ms >= lease.seen_at_ms + self.delay_ms(record.as_ref(), rank(service)?),
+        };
+        may_write.then(|| self.write(now_ms, service, false, None)).flatten()
+    }
+
+    fn delay_ms(&self, record: Option<&LeaseRecord>, rank: u64) -> u64 {
+        let by_rank_ms = rank * RANK_DELAY_MS;
+        match record {
+            None => by_rank_ms,
+            // The process that held it ran where this one runs, so it is dead.
+            Some(record) if record.address == self.me.address => 0,
+            Some(record) if record.is_released => match &record.heir {
+                Some(heir) if *heir == self.me.node => 0,
+                Some(_) => HEIR_DELAY_MS + by_rank_ms,
+                None => by_rank_ms,
+            },
+            Some(_) => LEASE_MS + TAKEOVER_MARGIN_MS + by_rank_ms,
+        }
+    }
+
+    fn write(
+        &mut self,
+        now_ms: u64,
+        service: &Name,
+        is_released: bool,
+        heir: Option<Name>,
+    ) -> Option<LeaseWrite> {
+        let renewal = self.next_renewal;
+        self.next_renewal += 1;
+        let lease = self.leases.get_mut(service)?;
+        lease.sent.push_back((renewal, now_ms));
+        if lease.sent.len() > KEPT_RENEWALS {
+            lease.sent.pop_front();
+        }
+        lease.next_try_ms = now_ms + RENEW_RETRY_MS;
+        // A taker inherits an order that its predecessor did not see through.
+        let pending_promotion = match lease.acquired_version {
+            Some(_) => lease.pending_promotion.clone(),
+            None => lease.record.as_ref().and_then(|record| record.pending_promotion.clone()),
+        };
+        let record = LeaseRecord {
+            holder: self.me.node.clone(),
+            address: self.me.address,
+            incarnation: self.me.incarnation,
+            renewal,
+            is_released,
+            heir,
+            pending_promotion,
+        };
+        Some(LeaseWrite { service: service.clone(), record, expected: lease.version })
+    }
+
+    /// Sets or clears the promotion that is under way; the next renewal records it. Returns the
+    /// write that records it at once.
+    pub fn set_pending_promotion(
+        &mut self,
+        now_ms: u64,
+        service: &Name,
+        member: Option<Name>,
+    ) -> Option<LeaseWrite> {
+        let lease = self.leases.get_mut(service)?;
+        lease.acquired_version?;
+        lease.pending_promotion = member;
+        self.write(now_ms, service, false, None)
+    }
+
+    /// Returns the promotion that is under way.
+    pub fn pending_promotion(&self, service: &Name) -> Option<Name> {
+        self.leases.get(service)?.pending_promotion.clone()
+    }
+
+    /// Stops renewing a lease. It is not valid any more.
+    pub fn give_up(&mut self, service: &Name) {
+        if let Some(lease) = self.leases.get_mut(service) {
+            lease.is_giving_up = true;
+            lease.valid_until_ms = 0;
+        }
+    }
+
+    /// Returns the write that releases a lease that was given up.
+    pub fn release(
+        &mut self,
+        now_ms: u64,
+        service: &Name,
+        heir: Option<Name>,
+    ) -> Option<LeaseWrite> {
+        self.write(now_ms, service, true, heir)
+    }
+
+    /// Returns until when this process may act as owner, and its fencing token.
+    pub fn held(&self, service: &Name) -> Option<(u64, u64)> {
+        let lease = self.leases.get(service)?;
+        let token = lease.acquired_version?;
+        (!lease.is_giving_up).then_some((lease.valid_until_ms, token))
+    }
+
+    /// Returns the known record of a lease with its version.
+    pub fn record(&self, service: &Name) -> Option<(&LeaseRecord, u64)> {
+        let lease = self.leases.get(service)?;
+        Some((lease.record.as_ref()?, lease.version))
+    }
+
+    /// Returns the services whose lease the known record gives to this process.
+    pub fn held_services(&self) -> Vec<Name> {
+        let held = self.leases.iter().filter(|(_, lease)| lease.acquired_version.is_some());
+        held.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Returns how many services each node holds, by the known records.
+    pub fn load(&self) -> HashMap<Name, u64> {
+        let mut load = HashMap::new();
+        for record in self.leases.values().filter_map(|lease| lease.record.as_ref()) {
+            *load.entry(record.holder.clone()).or_default() += 1;
+        }
+        load
+    }
+
+    /// Returns whether a lease is due to lapse without its holder having renewed it.
+    pub fn is_overdue(&self, now_ms: u64, service: &Name) -> bool {
+        self.leases.get(service).is_none_or(|lease| {
+            lease.record.as_ref().is_none_or(|record| record.is_released)
+                || now_ms > lease.seen_at_ms + LEASE_MS
+        })
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,30 @@
+//! Sessions, ownership of services, routing, limits and recovery, neutral to any caller's or
+//! member's protocol.
+//!
+//! An entry host takes callers' sessions ([`session`]). One node at a time owns a service
+//! ([`ownership`]); it alone talks to the service's members ([`service`]) and other nodes relay
+//! statements to it ([`relay`]). Protocols meet this crate through the traits in [`member`] and
+//! [`store`].
+
+pub mod clock;
+pub mod commit_history;
+pub mod configuration;
+pub mod configuration_watch;
+pub mod directory;
+pub mod failover;
+pub mod lease_book;
+pub mod log_position;
+pub mod member;
+pub mod metrics;
+pub mod name;
+pub mod node;
+pub mod outcome;
+pub mod ownership;
+pub mod relay;
+pub mod service;
+pub mod session;
+pub mod statement;
+pub mod store;
+pub mod sync;
+pub mod tenant_rates;
+pub mod token_bucket;
--- /dev/null
+++ b/core/src/metrics.rs
@@ -0,0 +1,87 @@
+//! Counters and latency histograms, as text.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Mutex;
+
+use hdrhistogram::Histogram;
+
+use crate::name::Name;
+use crate::outcome::Failure;
+use crate::sync::lock;
+
+/// Longest latency recorded, in milliseconds.
+const MAX_LATENCY_MS: u64 = 60_000;
+
+/// Significant digits of recorded latencies.
+const LATENCY_DIGITS: u8 = 2;
+
+#[derive(Default)]
+struct Counts {
+    served: BTreeMap<(Name, Name), Histogram<u64>>,
+    refused: BTreeMap<(Name, String), u64>,
+    events: BTreeMap<&'static str, u64>,
+}
+
+/// Counters and latencies of a node.
+#[derive(Default)]
+pub struct Metrics {
+    counts: Mutex<Counts>,
+}
+
+impl Metrics {
+    /// Counts a served statement.
+    pub fn served(&self, tenant: &Name, route: &Name, latency_ms: u64) {
+        let mut counts = lock(&self.counts);
+        let histogram = counts.served.entry((tenant.clone(), route.clone())).or_insert_with(|| {
+            Histogram::new_with_bounds(1, MAX_LATENCY_MS, LATENCY_DIGITS)
+                .unwrap_or_else(|_| Histogram::new(LATENCY_DIGITS).expect("digits are valid"))
+        });
+        histogram.saturating_record(latency_ms);
+    }
+
+    /// Counts a refusal by its reason.
+    pub fn refused(&self, tenant: &Name, reason: &str) {
+        *lock(&self.counts).refused.entry((tenant.clone(), reason.to_owned())).or_default() += 1;
+    }
+
+    /// Counts a failed statement.
+    pub fn failed(&self, tenant: &Name, failure: Failure) {
+        self.refused(tenant, failure.label());
+    }
+
+    /// Counts a new connection to a member.
+    pub fn connected(&self) {
+        self.count("member_connections_opened");
+    }
+
+    /// Counts an event.
+    pub fn count(&self, event: &'static str) {
+        *lock(&self.counts).events.entry(event).or_default() += 1;
+    }
+
+    /// Writes all counters as text, a line each.
+    pub fn render(&self, text: &mut String) {
+        let counts = lock(&self.counts);
+        for ((tenant, route), histogram) in &counts.served {
+            let labels = format!("tenant=\"{tenant}\",route=\"{route}\"");
+            let _ = writeln!(text, "statements_served{{{labels}}} {}", histogram.len());
+            for quantile in [0.5, 0.9, 0.99] {
+                let value_ms = histogram.value_at_quantile(quantile);
+                let _ = writeln!(
+                    text,
+                    "statement_latency_ms{{{labels},quantile=\"{quantile}\"}} {value_ms}"
+                );
+            }
+        }
+        for ((tenant, reason), count) in &counts.refused {
+            let _ = writeln!(
+                text,
+                "statements_refused{{tenant=\"{tenant}\",reason=\"{reason}\"}} {count}"
+            );
+        }
+        for (event, count) in &counts.events {
+            let _ = writeln!(text, "{event} {count}");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/node.rs
@@ -0,0 +1,308 @@
+//! One process on an entry host: what it knows, what it owns, and how it reaches owners.
+
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::clock::now_ms;
+use crate::configuration_watch::ConfigurationWatch;
+use crate::configuration_watch::KnownConfiguration;
+use crate::directory::Directory;
+use crate::lease_book::Identity;
+use crate::lease_book::LeaseBook;
+use crate::member::MemberConnector;
+use crate::member::PromotionOrders;
+use crate::metrics::Metrics;
+use crate::name::Name;
+use crate::outcome::Failure;
+use crate::outcome::Refusal;
+use crate::ownership::NodeRecord;
+use crate::relay::Call;
+use crate::relay::CallReply;
+use crate::relay::PeerPool;
+use crate::relay::PeerReport;
+use crate::relay::RelayError;
+use crate::relay::Step;
+use crate::service::OwnedService;
+use crate::statement::Access;
+use crate::store::MetadataStore;
+use crate::sync::lock;
+
+/// Pause before a call that found no owner is tried again, unless a new owner is heard of.
+const OWNER_RETRY: Duration = Duration::from_millis(40);
+
+/// Margin below the bound on withdrawn keys, in milliseconds: covers the way of a request.
+const FRESHNESS_MARGIN_MS: u64 = 400;
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Its name, data centre and address, and its process.
+    pub identity: Identity,
+    /// Its data centre.
+    pub zone: Name,
+    /// Time after which a withdrawn key must not work, in milliseconds.
+    pub revoke_limit_ms: u64,
+    /// Time from the order to stop until the process is killed, in milliseconds.
+    pub grace_ms: u64,
+}
+
+/// What a node reaches outside itself.
+#[derive(Clone)]
+pub struct NodeBorder {
+    /// The platform's store.
+    pub store: Arc<dyn MetadataStore>,
+    /// Members.
+    pub connector: Arc<dyn MemberConnector>,
+    /// Promotions.
+    pub orders: Arc<dyn PromotionOrders>,
+}
+
+/// One process on an entry host.
+pub struct Node {
+    pub(crate) settings: NodeSettings,
+    pub(crate) border: NodeBorder,
+    pub(crate) configuration: Arc<ConfigurationWatch>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) directory: Directory,
+    pub(crate) peers: PeerPool,
+    pub(crate) book: Mutex<LeaseBook>,
+    pub(crate) services: Mutex<HashMap<Name, Arc<OwnedService>>>,
+    pub(crate) nodes: Mutex<HashMap<Name, NodeRecord>>,
+    pub(crate) refresh: Notify,
+    pub(crate) lease_attention: Notify,
+    pub(crate) tasks: TaskTracker,
+    pub(crate) stop: CancellationToken,
+    pub(crate) leaving: CancellationToken,
+    is_stopping: AtomicBool,
+    started_at_ms: u64,
+}
+
+impl Node {
+    /// Creates a node that owns nothing and knows nothing.
+    pub fn new(settings: NodeSettings, border: NodeBorder) -> Arc<Self> {
+        Arc::new(Self {
+            book: Mutex::new(LeaseBook::new(settings.identity.clone())),
+            settings,
+            border,
+            configuration: Arc::default(),
+            metrics: Arc::default(),
+            directory: Directory::default(),
+            peers: PeerPool::default(),
+            services: Mutex::default(),
+            nodes: Mutex::default(),
+            refresh: Notify::new(),
+            lease_attention: Notify::new(),
+            tasks: TaskTracker::new(),
+            stop: CancellationToken::new(),
+            leaving: CancellationToken::new(),
+            is_stopping: AtomicBool::new(false),
+            started_at_ms: now_ms(),
+        })
+    }
+
+    /// Returns the counters.
+    pub fn metrics(&self) -> &Arc<Metrics> {
+        &self.metrics
+    }
+
+    /// Returns the identity of this process.
+    pub fn incarnation(&self) -> u64 {
+        self.settings.identity.incarnation
+    }
+
+    /// Writes counters, owned services and their members as text, a line each.
+    pub fn render_metrics(&self) -> String {
+        let mut text = String::new();
+        self.metrics.render(&mut text);
+        let known = self.configuration.known();
+        let version = known.map_or(0, |known| known.configuration.version);
+        let _ = writeln!(text, "configuration_version {version}");
+        if let Some(age_ms) = self.configuration_age_ms() {
+            let _ = writeln!(text, "configuration_age_ms {age_ms}");
+        }
+        let _ = writeln!(text, "is_ready {}", u8::from(self.is_ready()));
+        let services: Vec<Arc<OwnedService>> = lock(&self.services).values().cloned().collect();
+        for service in services {
+            service.summary().render(&mut text);
+        }
+        text
+    }
+
+    /// Returns the newest configuration if it is fresh enough to act on.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when it is too old: a key may have been withdrawn since.
+    pub fn fresh_configuration(&self) -> Result<KnownConfiguration, Refusal> {
+        let Some(known) = self.configuration.known() else {
+            return Err(Refusal::new(Failure::Busy, "no configuration is known yet"));
+        };
+        let age_ms = now_ms().saturating_sub(known.proven_at_ms);
+        match age_ms < self.settings.revoke_limit_ms.saturating_sub(FRESHNESS_MARGIN_MS) {
+            true => Ok(known),
+            false => {
+                let detail = format!("the configuration is unconfirmed for {age_ms} ms");
+                Err(Refusal::new(Failure::Busy, &detail))
+            }
+        }
+    }
+
+    /// Returns for how long the configuration has not been confirmed, in milliseconds.
+    pub fn configuration_age_ms(&self) -> Option<u64> {
+        Some(now_ms().saturating_sub(self.configuration.known()?.proven_at_ms))
+    }
+
+    /// Returns whether the process is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Returns a token that is cancelled when idle sessions must leave.
+    pub fn leaving(&self) -> &CancellationToken {
+        &self.leaving
+    }
+
+    pub(crate) fn set_stopping(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+    }
+
+    /// Returns whether new sessions should come here.
+    pub fn is_ready(&self) -> bool {
+        // Half of the bound: a session that comes now is served for as long again.
+        let limit_ms = self.settings.revoke_limit_ms / 2;
+        !self.is_stopping() && self.configuration_age_ms().is_some_and(|age_ms| age_ms < limit_ms)
+    }
+
+    /// Tells another node how this one is.
+    pub fn report(&self) -> PeerReport {
+        let known = self.configuration.known();
+        PeerReport {
+            configuration_version: known.as_ref().map_or(0, |known| known.configuration.version),
+            proof_age_ms: self.configuration_age_ms(),
+            uptime_ms: now_ms().saturating_sub(self.started_at_ms),
+            is_stopping: self.is_stopping(),
+        }
+    }
+
+    pub(crate) fn owned(&self, service: &str) -> Option<Arc<OwnedService>> {
+        lock(&self.services).get(service).cloned()
+    }
+
+    /// Runs a statement if this node owns the service.
+    pub async fn run_owned(&self, call: Call) -> CallReply {
+        let name = call.service.clone();
+        let reply = match self.owned(&name) {
+            Some(service) => service.run(call).await,
+            None => CallReply::NotOwner { owner: None },
+        };
+        match reply {
+            CallReply::NotOwner { owner: None } => {
+                let me = self.settings.identity.address;
+                let owner = self.directory.owner(&name).filter(|owner| owner.address != me);
+                CallReply::NotOwner { owner }
+            }
+            reply => reply,
+        }
+    }
+
+    /// Drops a transaction whose caller has gone.
+    pub fn drop_lane(&self, service: &str, lane: u64) {
+        if let Some(service) = self.owned(service) {
+            service.drop_lane(lane);
+        }
+    }
+
+    /// Returns whether this node reaches a member of a service.
+    pub async fn reaches_member(&self, service: &str, address: SocketAddr) -> bool {
+        crate::ownership::reaches_member(self, service, address).await
+    }
+
+    /// Runs a statement at the owner of its service, wherever that is. Returns the reply, and the
+    /// node at which a transaction is open.
+    pub async fn call(&self, mut call: Call) -> (CallReply, Option<SocketAddr>) {
+        let started_at_ms = now_ms();
+        let hold_until_ms = started_at_ms + call.hold_ms;
+        let deadline_at_ms = started_at_ms + call.deadline_ms;
+        let objective_at_ms = started_at_ms + call.objective_ms;
+        let mut changes = self.directory.changes();
+        loop {
+            let now_ms = now_ms();
+            call.hold_ms = hold_until_ms.saturating_sub(now_ms);
+            call.deadline_ms = deadline_at_ms.saturating_sub(now_ms);
+            call.objective_ms = objective_at_ms.saturating_sub(now_ms);
+            changes.mark_unchanged();
+            if let Some(owner) = self.directory.owner(&call.service) {
+                let reply = self.call_at(owner.address, call.clone()).await;
+                match reply {
+                    Ok(CallReply::NotOwner { .. }) | Err(RelayError::NotSent(_)) => {}
+                    Ok(reply) => return (reply, Some(owner.address)),
+                    Err(RelayError::Lost(reason)) => {
+                        if let Some(refusal) = outcome_of_lost(&call, &reason) {
+                            return (CallReply::Refused(refusal), None);
+                        }
+                    }
+                }
+            }
+            self.refresh.notify_one();
+            if crate::clock::now_ms() + OWNER_RETRY.as_millis() as u64 >= hold_until_ms {
+                let refusal = Refusal::new(Failure::Busy, "the owner of the service is not known");
+                return (CallReply::Refused(refusal), None);
+            }
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = tokio::time::sleep(OWNER_RETRY) => {}
+            }
+        }
+    }
+
+    /// Runs a statement at one node.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the statement may have run.
+    pub async fn call_at(&self, address: SocketAddr, call: Call) -> Result<CallReply, RelayError> {
+        if address == self.settings.identity.address {
+            return Ok(self.run_owned(call).await);
+        }
+        let service = call.service.clone();
+        let reply = self.peers.run(address, call).await;
+        match &reply {
+            Ok(CallReply::NotOwner { owner: Some(owner) }) => {
+                self.directory.learn(&service, owner.clone());
+            }
+            Ok(_) => {}
+            Err(error) => {
+                log::info!(
+                    event = "relay_failed", service = &*service, peer = address.to_string(),
+                    error = error.to_string(); ""
+                );
+            }
+        }
+        reply
+    }
+}
+
+/// Returns what to tell of a call that may have been carried out; `None` if it may be repeated.
+pub(crate) fn outcome_of_lost(call: &Call, reason: &str) -> Option<Refusal> {
+    let in_transaction = call.lane.is_some() || call.open.is_some();
+    match &call.step {
+        Step::Run(work) if !in_transaction && work.access == Access::Read => None,
+        Step::Run(_) if !in_transaction => {
+            Some(Refusal::new(Failure::InDoubt, &format!("write may have run: {reason}")))
+        }
+        Step::Commit { .. } => {
+            Some(Refusal::new(Failure::InDoubt, &format!("commit may have run: {reason}")))
+        }
+        _ => Some(Refusal::new(Failure::Aborted, &format!("never committed: {reason}"))),
+    }
+}
--- /dev/null
+++ b/core/src/ownership.rs
@@ -0,0 +1,584 @@
+//! Acquires, renews and hands over the ownership of services, and keeps the node's knowledge of
+//! configuration, leases and other nodes fresh.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::now_ms;
+use crate::configuration::Configuration;
+use crate::directory::Owner;
+use crate::lease_book::LeaseRecord;
+use crate::lease_book::LeaseWrite;
+use crate::member::MemberEntry;
+use crate::member::MemberError;
+use crate::member::MemberKey;
+use crate::name::Name;
+use crate::node::Node;
+use crate::outcome::Failure;
+use crate::relay::LeaseOffer;
+use crate::relay::PeerReport;
+use crate::service::OwnedService;
+use crate::service::OwnerNode;
+use crate::service::ServiceBorder;
+use crate::store::Record;
+use crate::store::WriteOutcome;
+use crate::sync::lock;
+
+/// Time between two reads of the configuration: must be in force within a few seconds, and the
+/// proof of its being the newest must not grow old.
+const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time between two reads of leases and nodes while nothing is amiss.
+const RECORDS_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Shortest time between two reads of leases and nodes.
+const RECORDS_MIN_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Pause after a failed read of the store.
+const READ_RETRY: Duration = Duration::from_millis(250);
+
+/// Time between two looks at the lease book.
+const LEASE_TICK: Duration = Duration::from_millis(50);
+
+/// Longest wait for open transactions before a service is handed over: most transactions end in
+/// this time, and others wait for the service meanwhile.
+const HANDOVER_LIMIT: Duration = Duration::from_millis(700);
+
+/// Longest wait for another node's answer whether it reaches a member.
+const REACH_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Greatest age of a configuration proof with which a node may become an heir, in milliseconds.
+const HEIR_PROOF_LIMIT_MS: u64 = 1_800;
+
+/// Age of the configuration proof at which owned services are offered to others, in milliseconds:
+/// some renewals have failed, and the lease still holds for a while.
+const STORE_LOST_LIMIT_MS: u64 = 1_700;
+
+/// Prefix of the keys of leases.
+const LEASE_PREFIX: &str = "lease/";
+
+/// Prefix of the keys of nodes.
+const NODE_PREFIX: &str = "node/";
+
+/// A node, as it announces itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Its name.
+    pub name: Name,
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// Its process.
+    pub incarnation: u64,
+}
+
+/// Returns an identity for a new process.
+pub fn new_incarnation() -> u64 {
+    rand::random()
+}
+
+/// Starts the node's own tasks.
+pub fn start(node: &Arc<Node>) {
+    node.tasks.spawn(watch_configuration(node.clone()));
+    node.tasks.spawn(watch_records(node.clone()));
+    node.tasks.spawn(keep_leases(node.clone()));
+}
+
+async fn watch_configuration(node: Arc<Node>) {
+    let mut has_failed = false;
+    loop {
+        let sent_at_ms = now_ms();
+        let wait = match node.border.store.read_configuration().await {
+            Ok(Some(configuration)) => {
+                if std::mem::take(&mut has_failed) {
+                    log::info!(event = "store_regained"; "");
+                }
+                learn_configuration(&node, configuration, sent_at_ms);
+                CONFIGURATION_INTERVAL
+            }
+            Ok(None) => READ_RETRY,
+            Err(error) => {
+                if !has_failed {
+                    log::warn!(event = "store_lost", error = error.to_string(); "");
+                }
+                has_failed = true;
+                READ_RETRY
+            }
+        };
+        let spent = Duration::from_millis(now_ms().saturating_sub(sent_at_ms));
+        tokio::select! {
+            () = node.stop.cancelled() => return,
+            () = tokio::time::sleep(wait.saturating_sub(spent)) => {}
+        }
+    }
+}
+
+fn learn_configuration(node: &Node, configuration: Configuration, sent_at_ms: u64) {
+    let version = configuration.version;
+    let evacuated = configuration.evacuated.len();
+    if node.configuration.learn(configuration, sent_at_ms) {
+        log::info!(
+            event = "configuration_applied", version = version, zones_out = evacuated,
+            age_ms = now_ms().saturating_sub(sent_at_ms); ""
+        );
+        node.lease_attention.notify_one();
+    }
+}
+
+async fn watch_records(node: Arc<Node>) {
+    let mut is_announced = false;
+    loop {
+        let started_at_ms = now_ms();
+        let wait = match node.border.store.read_records().await {
+            Ok(records) => {
+                learn_records(&node, &records);
+                if !is_announced {
+                    is_announced = announce(&node, &records).await;
+                }
+                if is_announced { RECORDS_INTERVAL } else { READ_RETRY }
+            }
+            Err(error) => {
+                log::debug!(event = "records_unread", error = error.to_string(); "");
+                READ_RETRY
+            }
+        };
+        let spent = Duration::from_millis(now_ms().saturating_sub(started_at_ms));
+        tokio::select! {
+            () = node.stop.cancelled() => return,
+            () = tokio::time::sleep(RECORDS_MIN_INTERVAL) => {}
+        }
+        let urgent = has_overdue(&node);
+        let rest = if urgent { RECORDS_MIN_INTERVAL } else { wait.saturating_sub(spent) };
+        tokio::select! {
+            () = node.stop.cancelled() => return,
+            () = tokio::time::sleep(rest) => {}
+            () = node.refresh.notified() => {}
+        }
+    }
+}
+
+fn has_overdue(node: &Node) -> bool {
+    let now_ms = now_ms();
+    let book = lock(&node.book);
+    service_names(node).iter().any(|service| book.is_overdue(now_ms, service))
+}
+
+fn service_names(node: &Node) -> Vec<Name> {
+    node.configuration.known().map_or_else(Vec::new, |known| known.configuration.service_names())
+}
+
+fn learn_records(node: &Node, records: &[Record]) {
+    let now_ms = now_ms();
+    for record in records {
+        if let Some(service) = record.key.strip_prefix(LEASE_PREFIX) {
+            match serde_json::from_slice::<LeaseRecord>(&record.value) {
+                Ok(lease) => learn_lease(node, now_ms, &service.into(), lease, record.version),
+                Err(error) => {
+                    log::warn!(
+                        event = "lease_unreadable", key = &*record.key,
+                        error = error.to_string(); ""
+                    );
+                }
+            }
+        } else if record.key.starts_with(NODE_PREFIX)
+            && let Ok(known) = serde_json::from_slice::<NodeRecord>(&record.value)
+        {
+            lock(&node.nodes).insert(known.name.clone(), known);
+        }
+    }
+    let mut book = lock(&node.book);
+    for service in service_names(node) {
+        let key = format!("{LEASE_PREFIX}{service}");
+        if !records.iter().any(|record| *record.key == *key) {
+            book.observe(now_ms, &service, None, 0);
+        }
+    }
+    drop(book);
+    node.lease_attention.notify_one();
+}
+
+fn learn_lease(node: &Node, now_ms: u64, service: &Name, record: LeaseRecord, version: u64) {
+    let owner = Owner {
+        node: record.holder.clone(),
+        address: record.address,
+        version,
+        is_released: record.is_released,
+    };
+    lock(&node.book).observe(now_ms, service, Some(record), version);
+    if node.directory.learn(service, owner.clone()) {
+        log::info!(
+            event = "owner_changed", service = &**service, owner = &*owner.node,
+            version = version, released = owner.is_released; ""
+        );
+    }
+}
+
+/// Writes this node's record. Returns whether it is there.
+async fn announce(node: &Node, records: &[Record]) -> bool {
+    let identity = &node.settings.identity;
+    let key = format!("{NODE_PREFIX}{}", identity.node);
+    let present = records.iter().find(|record| *record.key == *key);
+    let record = NodeRecord {
+        name: identity.node.clone(),
+        address: identity.address,
+        incarnation: identity.incarnation,
+    };
+    lock(&node.nodes).insert(record.name.clone(), record.clone());
+    let Ok(value) = serde_json::to_vec(&record) else { return false };
+    if present.is_some_and(|present| present.value == value) {
+        return true;
+    }
+    let expected = present.map_or(0, |present| present.version);
+    matches!(
+        node.border.store.write_record(&key, &value, expected).await,
+        Ok(WriteOutcome::Written(_))
+    )
+}
+
+async fn keep_leases(node: Arc<Node>) {
+    loop {
+        tokio::select! {
+            () = node.stop.cancelled() => return,
+            () = tokio::time::sleep(LEASE_TICK) => {}
+            () = node.lease_attention.notified() => {}
+        }
+        let services = service_names(&node);
+        let loads = lock(&node.book).load();
+        let rank = |service: &Name| rank(&node, service, &loads);
+        let writes = lock(&node.book).due(now_ms(), &services, rank);
+        for write in writes {
+            let node = node.clone();
+            node.tasks.clone().spawn(async move { write_lease(&node, write).await });
+        }
+        apply_held(&node);
+        grant_leave_wishes(&node);
+        offer_when_store_is_lost(&node);
+    }
+}
+
+/// Returns this node's place among the candidates for a service: those with few services first,
+/// in an order that differs from service to service.
+fn rank(node: &Node, service: &Name, loads: &std::collections::HashMap<Name, u64>) -> Option<u64> {
+    if node.is_stopping() {
+        return None;
+    }
+    let score = |name: &Name| {
+        let load = loads.get(name).copied().unwrap_or(0);
+        (load, xxh3_64(format!("{service}/{name}").as_bytes()))
+    };
+    let mine = score(&node.settings.identity.node);
+    let nodes = lock(&node.nodes);
+    Some(nodes.keys().filter(|name| score(name) < mine).count() as u64)
+}
+
+async fn write_lease(node: &Arc<Node>, write: LeaseWrite) -> bool {
+    let key = format!("{LEASE_PREFIX}{}", write.service);
+    let Ok(value) = serde_json::to_vec(&write.record) else { return false };
+    let outcome = node.border.store.write_record(&key, &value, write.expected).await;
+    let now_ms = now_ms();
+    let written = match outcome {
+        Ok(WriteOutcome::Written(version)) => {
+            learn_lease(node, now_ms, &write.service, write.record, version);
+            true
+        }
+        Ok(WriteOutcome::Conflict(Some(record))) => {
+            match serde_json::from_slice::<LeaseRecord>(&record.value) {
+                Ok(lease) => learn_lease(node, now_ms, &write.service, lease, record.version),
+                Err(error) => {
+                    log::warn!(event = "lease_unreadable", key = key, error = error.to_string(); "");
+                }
+            }
+            false
+        }
+        Ok(WriteOutcome::Conflict(None)) => false,
+        Err(error) => {
+            log::info!(
+                event = "lease_write_failed", service = &*write.service,
+                renewal = write.record.renewal, error = error.to_string(); ""
+            );
+            node.refresh.notify_one();
+            false
+        }
+    };
+    apply_held(node);
+    written
+}
+
+/// Starts, prolongs and ends owned services as the lease book says.
+fn apply_held(node: &Arc<Node>) {
+    let book = lock(&node.book);
+    let held: Vec<(Name, u64, u64, Option<Name>)> = book
+        .held_services()
+        .into_iter()
+        .filter_map(|service| {
+            let (valid_until_ms, token) = book.held(&service)?;
+            let pending = book.pending_promotion(&service);
+            Some((service, valid_until_ms, token, pending))
+        })
+        .collect();
+    drop(book);
+    let mut services = lock(&node.services);
+    let mut ended = Vec::new();
+    services.retain(|name, service| {
+        let stays = held
+            .iter()
+            .any(|(held, _, token, _)| held == name && *token == service.fencing_token());
+        // A service that is being handed over ends by itself.
+        if !stays && !service.is_handing_over() {
+            ended.push((name.clone(), service.clone()));
+        }
+        stays || service.is_handing_over()
+    });
+    for (name, valid_until_ms, token, pending) in held {
+        if let Some(service) = services.get(&name) {
+            service.prolong(valid_until_ms);
+            continue;
+        }
+        let border = ServiceBorder {
+            connector: node.border.connector.clone(),
+            orders: node.border.orders.clone(),
+            store: node.border.store.clone(),
+            configuration: node.configuration.clone(),
+            metrics: node.metrics.clone(),
+            node: node.clone(),
+        };
+        log::info!(event = "ownership_started", service = &*name, token = token; "");
+        let service = OwnedService::start(name.clone(), border, token, valid_until_ms, pending);
+        services.insert(name, service);
+    }
+    drop(services);
+    for (name, service) in ended {
+        log::warn!(
+            event = "ownership_ended", service = &*name, token = service.fencing_token();
+            "the lease is not this process's any more"
+        );
+        node.tasks.spawn(async move { service.stop().await });
+    }
+}
+
+fn grant_leave_wishes(node: &Arc<Node>) {
+    let owned: Vec<(Name, Arc<OwnedService>)> =
+        lock(&node.services).iter().map(|(name, owned)| (name.clone(), owned.clone())).collect();
+    for (service, owned) in owned {
+        let Some(wish) = owned.take_leave_wish() else { continue };
+        let node = node.clone();
+        node.tasks.clone().spawn(async move {
+            hand_over(&node, &service, wish.heir, &wish.reason).await;
+        });
+    }
+}
+
+/// Gives services away when the store does not answer this node, in case it answers others.
+fn offer_when_store_is_lost(node: &Arc<Node>) {
+    let is_lost = node.configuration_age_ms().is_some_and(|age_ms| age_ms > STORE_LOST_LIMIT_MS);
+    if !is_lost || node.is_stopping() {
+        return;
+    }
+    let services: Vec<Name> = lock(&node.services)
+        .iter()
+        .filter(|(_, service)| service.is_open() && service.may_offer(now_ms()))
+        .map(|(name, _)| name.clone())
+        .collect();
+    for service in services {
+        let node = node.clone();
+        node.tasks.clone().spawn(async move {
+            // Without a node that reaches the store there is nobody to give the service to.
+            if let Some(heir) = find_heir(&node).await {
+                hand_over(&node, &service, Some(heir), "the store is out of reach").await;
+            }
+        });
+    }
+}
+
+/// Returns the node that should take a service: it reaches the store, owns least, and has started
+/// last, so that a rolling restart does not reach it next.
+async fn find_heir(node: &Node) -> Option<Name> {
+    let me = node.settings.identity.node.clone();
+    let others: Vec<NodeRecord> =
+        lock(&node.nodes).values().filter(|record| record.name != me).cloned().collect();
+    let asking = others.into_iter().map(|record| async move {
+        let report = node.peers.report(record.address).await.ok()?;
+        Some((record.name, report))
+    });
+    let reports: Vec<(Name, PeerReport)> = join_all(asking).await.into_iter().flatten().collect();
+    let loads = lock(&node.book).load();
+    let fit = reports.into_iter().filter(|(_, report)| {
+        !report.is_stopping && report.proof_age_ms.is_some_and(|age| age < HEIR_PROOF_LIMIT_MS)
+    });
+    let best =
+        fit.min_by_key(|(name, report)| (loads.get(name).copied().unwrap_or(0), report.uptime_ms));
+    best.map(|(name, _)| name)
+}
+
+/// Stops to act as owner and gives the service to an heir.
+pub async fn hand_over(node: &Arc<Node>, service: &Name, heir: Option<Name>, reason: &str) {
+    let Some(owned) = node.owned(service) else { return };
+    if !owned.start_handing_over() {
+        return;
+    }
+    let heir = match heir {
+        Some(heir) => Some(heir),
+        None => find_heir(node).await,
+    };
+    log::info!(
+        event = "handover_started", service = &**service, reason = reason,
+        heir = heir.as_deref().unwrap_or("-"), transactions = owned.transactions(); ""
+    );
+    owned.close(HANDOVER_LIMIT).await;
+    lock(&node.book).give_up(service);
+    let stopping = owned.clone();
+    node.tasks.spawn(async move { stopping.stop().await });
+    let taken = match &heir {
+        Some(heir) => offer_to(node, service, heir).await,
+        None => None,
+    };
+    if let Some(owner) = &taken {
+        node.directory.learn(service, owner.clone());
+    } else {
+        let write = lock(&node.book).release(now_ms(), service, heir.clone());
+        if let Some(write) = write {
+            write_lease(node, write).await;
+        }
+    }
+    log::info!(
+        event = "handover_ended", service = &**service,
+        owner = taken.as_ref().map_or("-", |owner| &*owner.node); ""
+    );
+    lock(&node.services).remove(service);
+    node.refresh.notify_one();
+}
+
+async fn offer_to(node: &Node, service: &Name, heir: &Name) -> Option<Owner> {
+    let address = lock(&node.nodes).get(heir)?.address;
+    let (record, version) = {
+        let book = lock(&node.book);
+        let (record, version) = book.record(service)?;
+        (record.clone(), version)
+    };
+    let offer = LeaseOffer { service: service.clone(), record, version };
+    match node.peers.offer(address, offer).await {
+        Ok(owner) => owner,
+        Err(error) => {
+            log::info!(
+                event = "offer_failed", service = &**service, heir = &**heir,
+                error = error.to_string(); ""
+            );
+            None
+        }
+    }
+}
+
+impl Node {
+    /// Takes over a lease whose holder has stopped acting.
+    pub async fn accept_offer(self: &Arc<Self>, offer: LeaseOffer) -> Option<Owner> {
+        if self.is_stopping() {
+            return None;
+        }
+        let write = {
+            let mut book = lock(&self.book);
+            let now_ms = now_ms();
+            book.accept_offer(now_ms, &offer.service, offer.record, offer.version);
+            book.due(now_ms, std::slice::from_ref(&offer.service), |_| Some(0)).pop()?
+        };
+        write_lease(self, write).await;
+        let me = self.settings.identity.address;
+        self.directory.owner(&offer.service).filter(|owner| owner.address == me)
+    }
+
+    /// Stops: gives services away, lets sessions end, and ends all tasks.
+    pub async fn shut_down(self: &Arc<Self>) {
+        self.set_stopping();
+        log::info!(event = "stopping", grace_ms = self.settings.grace_ms; "");
+        let services: Vec<Name> = lock(&self.services).keys().cloned().collect();
+        join_all(services.iter().map(|service| hand_over(self, service, None, "stopping"))).await;
+        // By now the balancer has seen two readiness checks fail.
+        let unready = Duration::from_millis(self.settings.grace_ms * 2 / 5);
+        tokio::time::sleep(unready).await;
+        self.leaving.cancel();
+    }
+
+    /// Ends all tasks of the node.
+    pub async fn end(&self) {
+        self.stop.cancel();
+        let services: Vec<Arc<OwnedService>> =
+            lock(&self.services).drain().map(|(_, service)| service).collect();
+        join_all(services.iter().map(|service| service.stop())).await;
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
+#[async_trait::async_trait]
+impl OwnerNode for Node {
+    async fn record_promotion(&self, service: &Name, member: Option<Name>) -> bool {
+        let write = lock(&self.book).set_pending_promotion(now_ms(), service, member);
+        let Some(write) = write else { return false };
+        let key = format!("{LEASE_PREFIX}{}", write.service);
+        let Ok(value) = serde_json::to_vec(&write.record) else { return false };
+        match self.border.store.write_record(&key, &value, write.expected).await {
+            Ok(WriteOutcome::Written(version)) => {
+                learn_lease(self, now_ms(), service, write.record, version);
+                true
+            }
+            Ok(WriteOutcome::Conflict(_)) => {
+                self.refresh.notify_one();
+                false
+            }
+            Err(error) => {
+                log::info!(
+                    event = "promotion_unrecorded", service = &**service,
+                    error = error.to_string(); ""
+                );
+                false
+            }
+        }
+    }
+
+    async fn find_node_reaching(&self, service: &Name, member: SocketAddr) -> Option<Name> {
+        let me = self.settings.identity.node.clone();
+        let others: Vec<NodeRecord> =
+            lock(&self.nodes).values().filter(|record| record.name != me).cloned().collect();
+        let asking = others.into_iter().map(|record| async move {
+            let asked = self.peers.reaches(record.address, service.clone(), member);
+            let reached = tokio::time::timeout(REACH_TIMEOUT, asked).await;
+            (record.name, matches!(reached, Ok(Ok(true))))
+        });
+        let reached: Vec<Name> = join_all(asking)
+            .await
+            .into_iter()
+            .filter_map(|(name, is_reached)| is_reached.then_some(name))
+            .collect();
+        let loads = lock(&self.book).load();
+        reached.into_iter().min_by_key(|name| loads.get(name).copied().unwrap_or(0))
+    }
+
+    fn hand_over(&self, service: &Name, heir: Option<Name>, reason: &str) {
+        let Some(owned) = self.owned(service) else { return };
+        owned.ask_to_leave(heir, reason);
+    }
+}
+
+/// Returns whether a member of a service answers this node at an address.
+pub(crate) async fn reaches_member(node: &Node, service: &str, address: SocketAddr) -> bool {
+    let member = MemberEntry {
+        key: MemberKey { id: "".into(), incarnation: 0 },
+        service: service.into(),
+        address,
+        zone: "".into(),
+        slots: 1,
+        is_draining: false,
+        cold_ms: 0,
+        claims_primary: false,
+    };
+    let connecting = node.border.connector.connect(&member, crate::service::OWN_NAME);
+    match tokio::time::timeout(REACH_TIMEOUT, connecting).await {
+        Ok(Ok(_)) => true,
+        Ok(Err(MemberError::Refused(refusal))) => refusal.failure != Failure::WrongMember,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/core/src/relay.rs
@@ -0,0 +1,156 @@
+//! The protocol between nodes: statements for the owner of a service, and what nodes tell each
+//! other.
+
+mod client;
+mod server;
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::directory::Owner;
+use crate::lease_book::LeaseRecord;
+use crate::log_position::LogPosition;
+use crate::name::Name;
+use crate::outcome::Answer;
+use crate::outcome::Refusal;
+use crate::statement::Work;
+
+pub use crate::relay::client::PeerPool;
+pub use crate::relay::client::RelayError;
+pub use crate::relay::client::watch_far_end;
+pub use crate::relay::server::serve_peers;
+
+/// What a read must include.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReadNeed {
+    /// The primary answers.
+    Primary,
+    /// Commits older than `max_staleness_ms`, and everything up to `floor`.
+    AtMost {
+        /// Greatest accepted age, in milliseconds.
+        max_staleness_ms: u64,
+        /// Newest position of the session's own commits.
+        floor: Option<LogPosition>,
+    },
+}
+
+/// A transaction to start before the first statement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenTransaction {
+    /// The caller's id of the statement that starts it.
+    pub id: Name,
+    /// Whether it only reads.
+    pub is_read_only: bool,
+}
+
+/// What a call asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Step {
+    /// Runs a data statement.
+    Run(Work),
+    /// Commits.
+    Commit {
+        /// The caller's id.
+        id: Name,
+    },
+    /// Drops the transaction.
+    Rollback,
+}
+
+impl Step {
+    /// The caller's id, for logs.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Run(work) => &work.id,
+            Self::Commit { id } => id,
+            Self::Rollback => "-",
+        }
+    }
+}
+
+/// One statement for the owner of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Call {
+    /// Service that runs it.
+    pub service: Name,
+    /// Tenant for whom it runs.
+    pub tenant: Name,
+    /// Transaction that it belongs to, if one is open at the owner.
+    pub lane: Option<u64>,
+    /// Transaction to start first.
+    pub open: Option<OpenTransaction>,
+    /// What to do.
+    pub step: Step,
+    /// Values of the session.
+    pub values: Vec<(Name, Name)>,
+    /// What reads must include.
+    pub need: ReadNeed,
+    /// Whether this is the first statement of an operation, which counts against the rate.
+    pub starts_operation: bool,
+    /// Time left for this statement, in milliseconds.
+    pub deadline_ms: u64,
+    /// Time for which it may wait before a member gets it, in milliseconds.
+    pub hold_ms: u64,
+    /// Time left of the latency objective, in milliseconds.
+    pub objective_ms: u64,
+    /// Priority; 0 is the highest.
+    pub priority: u32,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallReply {
+    /// A member answered.
+    Done {
+        /// The member's answer.
+        answer: Answer,
+        /// The open transaction, if there is one after the statement.
+        lane: Option<u64>,
+    },
+    /// It failed. No transaction is open any more.
+    Refused(Refusal),
+    /// This node does not own the service. Nothing was done.
+    NotOwner {
+        /// The owner, if this node knows one.
+        owner: Option<Owner>,
+    },
+}
+
+/// A lease that its holder gives away.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseOffer {
+    /// Service whose lease it is.
+    pub service: Name,
+    /// The present record.
+    pub record: LeaseRecord,
+    /// Version of the present record.
+    pub version: u64,
+}
+
+/// What a node tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerReport {
+    /// Version of its configuration.
+    pub configuration_version: u64,
+    /// For how long that version has not been proven to be the newest, in milliseconds.
+    pub proof_age_ms: Option<u64>,
+    /// Time since its process started, in milliseconds.
+    pub uptime_ms: u64,
+    /// Whether it is about to stop.
+    pub is_stopping: bool,
+}
+
+/// What nodes ask of each other.
+#[tarpc::service]
+pub trait Relay {
+    /// Runs a statement at the owner of a service.
+    async fn run(call: Call) -> CallReply;
+    /// Tells how the node is.
+    async fn report() -> PeerReport;
+    /// Takes over a lease whose holder has stopped acting. Returns the new owner if it did.
+    async fn offer(offer: LeaseOffer) -> Option<Owner>;
+    /// Returns whether a member at an address answers the node.
+    async fn reaches(service: Name, address: SocketAddr) -> bool;
+}
--- /dev/null
+++ b/core/src/relay/server.rs
@@ -0,0 +1,110 @@
+//! Answers to other nodes.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::directory::Owner;
+use crate::name::Name;
+use crate::node::Node;
+use crate::relay::Call;
+use crate::relay::CallReply;
+use crate::relay::LeaseOffer;
+use crate::relay::PeerReport;
+use crate::relay::Relay;
+use crate::relay::client::frames;
+use crate::relay::client::watch_far_end;
+use crate::sync::lock;
+
+/// What one node asked for over one connection; its transactions end with the connection.
+#[derive(Clone)]
+struct PeerServer {
+    node: Arc<Node>,
+    lanes: Arc<Mutex<HashSet<(Name, u64)>>>,
+}
+
+impl Relay for PeerServer {
+    async fn run(self, _: Context, call: Call) -> CallReply {
+        let service = call.service.clone();
+        let ending = call.lane;
+        let reply = self.node.run_owned(call).await;
+        let mut lanes = lock(&self.lanes);
+        if let Some(lane) = ending {
+            lanes.remove(&(service.clone(), lane));
+        }
+        if let CallReply::Done { lane: Some(lane), .. } = &reply {
+            lanes.insert((service, *lane));
+        }
+        reply
+    }
+
+    async fn report(self, _: Context) -> PeerReport {
+        self.node.report()
+    }
+
+    async fn offer(self, _: Context, offer: LeaseOffer) -> Option<Owner> {
+        self.node.accept_offer(offer).await
+    }
+
+    async fn reaches(self, _: Context, service: Name, address: SocketAddr) -> bool {
+        self.node.reaches_member(&service, address).await
+    }
+}
+
+/// Serves other nodes until `stop`.
+pub async fn serve_peers(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
+    let tracker = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tracker.spawn(serve_peer(node.clone(), stream, stop.clone()));
+            }
+            Err(error) => {
+                log::warn!(event = "peer_accept_failed", error = error.to_string(); "");
+            }
+        }
+    }
+    tracker.close();
+    tracker.wait().await;
+}
+
+async fn serve_peer(node: Arc<Node>, stream: TcpStream, stop: CancellationToken) {
+    if let Err(error) = watch_far_end(&stream) {
+        log::warn!(event = "peer_socket_failed", error = error.to_string(); "");
+        return;
+    }
+    let framed = tarpc::tokio_util::codec::Framed::new(stream, frames());
+    let transport = serde_transport::new(framed, Bincode::default());
+    let server = PeerServer { node: node.clone(), lanes: Arc::default() };
+    let tracker = TaskTracker::new();
+    let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+    let serving = requests.for_each(|request| {
+        tracker.spawn(request);
+        async {}
+    });
+    tokio::select! {
+        () = serving => {}
+        () = stop.cancelled() => {}
+    }
+    tracker.close();
+    let lanes: Vec<(Name, u64)> = lock(&server.lanes).drain().collect();
+    for (service, lane) in lanes {
+        node.drop_lane(&service, lane);
+    }
+}
--- /dev/null
+++ b/core/src/service/runner.rs
@@ -0,0 +1,544 @@
+//! Runs statements at members and says truthfully how they ended.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::clock::now_ms;
+use crate::log_position::LogPosition;
+use crate::member::MemberCommand;
+use crate::member::MemberError;
+use crate::member::MemberKey;
+use crate::member::MemberReply;
+use crate::name::Name;
+use crate::outcome::Answer;
+use crate::outcome::BlockState;
+use crate::outcome::Failure;
+use crate::outcome::Refusal;
+use crate::relay::Call;
+use crate::relay::CallReply;
+use crate::relay::OpenTransaction;
+use crate::relay::ReadNeed;
+use crate::relay::Step;
+use crate::service::Granted;
+use crate::service::OwnedService;
+use crate::service::connection::PooledConnection;
+use crate::service::lanes::Lane;
+use crate::service::lent::Lent;
+use crate::service::lent::SlotGuard;
+use crate::service::pool::Need;
+use crate::service::pool::SlotRequest;
+use crate::statement::Access;
+use crate::statement::Work;
+use crate::statement::WorkForm;
+use crate::sync::lock;
+
+/// Most members that are tried for one statement: each of three, and one again.
+const MAX_TRIES: u32 = 4;
+
+/// Pause before a member that was busy is asked again.
+const BUSY_PAUSE: Duration = Duration::from_millis(5);
+
+/// A call with its moments in this node's time.
+struct Running {
+    call: Call,
+    deadline_ms: u64,
+    hold_until_ms: u64,
+    objective_at_ms: u64,
+}
+
+/// How one try ended.
+enum Tried {
+    /// With this reply for the caller.
+    Final(CallReply),
+    /// Nothing ran; another try may succeed.
+    Again {
+        /// Member to avoid.
+        except: Option<MemberKey>,
+        /// What to tell when there is no other try.
+        refusal: Refusal,
+    },
+}
+
+fn refused(failure: Failure, detail: &str) -> CallReply {
+    CallReply::Refused(Refusal::new(failure, detail))
+}
+
+impl OwnedService {
+    /// Runs a statement.
+    pub async fn run(self: &Arc<Self>, call: Call) -> CallReply {
+        let now_ms = now_ms();
+        let running = Running {
+            deadline_ms: now_ms + call.deadline_ms,
+            hold_until_ms: now_ms + call.hold_ms.min(call.deadline_ms),
+            objective_at_ms: now_ms + call.objective_ms,
+            call,
+        };
+        match running.call.lane {
+            Some(number) => self.run_in_lane(number, running).await,
+            None => self.run_new(running).await,
+        }
+    }
+
+    async fn run_new(self: &Arc<Self>, running: Running) -> CallReply {
+        if !self.is_open() {
+            return CallReply::NotOwner { owner: None };
+        }
+        if running.call.starts_operation
+            && let Some(reply) = self.refuse_beyond_rate(&running.call)
+        {
+            return reply;
+        }
+        let mut except = None;
+        let mut refusal = Refusal::new(Failure::Busy, "no member could take it in time");
+        for _ in 0..MAX_TRIES {
+            if now_ms() >= running.hold_until_ms {
+                break;
+            }
+            match self.try_new(&running, except.take()).await {
+                Tried::Final(reply) => return reply,
+                Tried::Again { except: failed, refusal: latest } => {
+                    if latest.failure == Failure::Busy {
+                        tokio::time::sleep(BUSY_PAUSE).await;
+                    }
+                    except = failed;
+                    refusal = latest;
+                }
+            }
+            if !self.is_open() {
+                return CallReply::NotOwner { owner: None };
+            }
+        }
+        CallReply::Refused(refusal)
+    }
+
+    fn refuse_beyond_rate(&self, call: &Call) -> Option<CallReply> {
+        let known = self.border.configuration.known()?;
+        let now_ms = now_ms();
+        let admitted = {
+            let mut standing = lock(&self.standing);
+            standing.rates.apply(now_ms, &known.configuration);
+            standing.rates.admit(now_ms, &call.tenant)
+        };
+        let wait_ms = admitted.err()?;
+        self.border.metrics.refused(&call.tenant, "rate");
+        log::debug!(
+            event = "rate_refused", id = call.step.id(), tenant = &*call.tenant,
+            configuration = known.configuration.version, wait_ms = wait_ms.unwrap_or(0); ""
+        );
+        let detail = match wait_ms {
+            Some(wait_ms) => format!("tenant is beyond its rate; retry after {wait_ms} ms"),
+            None => "tenant has no rate".to_owned(),
+        };
+        Some(refused(Failure::Busy, &detail))
+    }
+
+    /// Returns which member a statement needs, with the position that its log must include.
+    fn need(&self, call: &Call, except: Option<MemberKey>) -> Option<(Need, LogPosition)> {
+        let standing = lock(&self.standing);
+        let history = standing.history.as_ref()?;
+        let writes = match (&call.open, &call.step) {
+            (Some(open), _) => !open.is_read_only,
+            (None, Step::Run(work)) => work.access == Access::Write,
+            (None, _) => true,
+        };
+        let found = match call.need {
+            ReadNeed::AtMost { max_staleness_ms, floor } if !writes => {
+                let by_age = history.floor(now_ms(), max_staleness_ms);
+                let own = floor.map(|floor| history.translate(floor)).unwrap_or_default();
+                let floor = by_age.max(own);
+                (Need::Reader { floor, except }, floor)
+            }
+            _ => (Need::Primary, history.newest()),
+        };
+        Some(found)
+    }
+
+    async fn try_new(self: &Arc<Self>, running: &Running, except: Option<MemberKey>) -> Tried {
+        let call = &running.call;
+        let Some((need, floor)) = self.need(call, except) else {
+            return self.wait_for_primary(running).await;
+        };
+        let request = SlotRequest {
+            need,
+            tenant: call.tenant.clone(),
+            objective_at_ms: running.objective_at_ms,
+            priority: call.priority,
+        };
+        let Some(Granted { slot, grant }) = self.acquire(request, running.hold_until_ms).await
+        else {
+            return match self.is_open() {
+                true => Tried::Final(refused(Failure::Busy, "no slot became free in time")),
+                false => Tried::Final(CallReply::NotOwner { owner: None }),
+            };
+        };
+        let is_primary = grant.is_primary;
+        let mut lent = match grant.connection {
+            Some(connection) => {
+                Lent::new(self.clone(), grant.member.clone(), connection, grant.down)
+            }
+            None => {
+                let connecting = self.border.connector.connect(&grant.member, &call.tenant).await;
+                match connecting {
+                    Ok(link) => {
+                        self.border.metrics.connected();
+                        let connection = PooledConnection::new(link, call.tenant.clone());
+                        Lent::new(self.clone(), grant.member.clone(), connection, grant.down)
+                    }
+                    Err(error) => return self.connect_failed(&grant.member.key, &error),
+                }
+            }
+        };
+        if !self.is_valid() {
+            lent.give_back();
+            return Tried::Final(CallReply::NotOwner { owner: None });
+        }
+        let shape = match &call.step {
+            Step::Run(Work { form: WorkForm::Execute { shape, .. }, .. }) => Some(shape.clone()),
+            _ => None,
+        };
+        let commands = lent
+            .connection()
+            .map(|connection| connection.prepare_for(&call.values, shape.as_ref(), true))
+            .unwrap_or_default();
+        // The primary includes every position by definition.
+        let floor = (!is_primary && floor != LogPosition::default()).then_some(floor);
+        match &call.open {
+            Some(open) => self.open_lane(running, open, lent, slot, commands, floor).await,
+            None => self.run_single(running, lent, slot, commands, floor).await,
+        }
+    }
+
+    /// Waits for a primary to become known, for as long as the statement may take.
+    async fn wait_for_primary(&self, running: &Running) -> Tried {
+        while now_ms() < running.hold_until_ms {
+            tokio::time::sleep(BUSY_PAUSE).await;
+            if lock(&self.standing).history.is_some() {
+                break;
+            }
+            if !self.is_open() {
+                return Tried::Final(CallReply::NotOwner { owner: None });
+            }
+        }
+        let refusal = Refusal::new(Failure::Busy, "the primary is not known yet");
+        Tried::Again { except: None, refusal }
+    }
+
+    fn connect_failed(&self, member: &MemberKey, error: &MemberError) -> Tried {
+        {
+            let mut pool = lock(&self.pool);
+            pool.connection_ended(member);
+            pool.connection_refused(now_ms(), member);
+        }
+        log::info!(
+            event = "member_connect_failed", service = &*self.name, member = &*member.id,
+            error = error.to_string(); ""
+        );
+        match error {
+            MemberError::Refused(refusal) if refusal.failure != Failure::WrongMember => {}
+            _ => self.doubt(member, &error.to_string()),
+        }
+        let refusal = Refusal::new(Failure::Busy, "the member takes no connection");
+        Tried::Again { except: Some(member.clone()), refusal }
+    }
+
+    async fn run_single(
+        self: &Arc<Self>,
+        running: &Running,
+        mut lent: Lent,
+        slot: SlotGuard,
+        mut commands: Vec<MemberCommand>,
+        floor: Option<LogPosition>,
+    ) -> Tried {
+        let Step::Run(work) = &running.call.step else {
+            lent.give_back();
+            return Tried::Final(refused(Failure::Malformed, "no transaction is open"));
+        };
+        let id = work.id.clone();
+        let is_read = work.access == Access::Read;
+        commands.push(MemberCommand::Run { id: id.clone(), form: work.form.clone(), floor });
+        let member = lent.member.key.clone();
+        let exchanged = lent.exchange(&commands, running.deadline_ms, is_read).await;
+        drop(slot);
+        let reply = match last_reply(exchanged, &commands) {
+            Ok(reply) => reply,
+            Err(error) if is_read => {
+                let refusal = Refusal::new(Failure::Aborted, &format!("member {error}"));
+                return Tried::Again { except: Some(member), refusal };
+            }
+            Err(error) => {
+                self.log_doubtful(&id, &member, &error);
+                let detail = format!("write may have run: member {error}");
+                return Tried::Final(refused(Failure::InDoubt, &detail));
+            }
+        };
+        let result = self.settle(&reply, !is_read);
+        match result {
+            Ok(answer) => {
+                lent.give_back();
+                Tried::Final(CallReply::Done { answer, lane: None })
+            }
+            Err(refusal) => self.single_failed(refusal, is_read, &reply, lent),
+        }
+    }
+
+    fn single_failed(
+        &self,
+        refusal: Refusal,
+        is_read: bool,
+        reply: &MemberReply,
+        lent: Lent,
+    ) -> Tried {
+        let member = lent.member.key.clone();
+        if reply.block == BlockState::Idle && refusal.failure != Failure::UnknownPrepared {
+            lent.give_back();
+        }
+        let except = match refusal.failure {
+            Failure::Lagging => {
+                lock(&self.pool).lagged(now_ms(), &member);
+                Some(member)
+            }
+            Failure::ReadOnly | Failure::WrongMember => {
+                self.doubt(&member, refusal.failure.label());
+                None
+            }
+            Failure::Failed if is_read => Some(member),
+            failure if failure.is_not_run() => None,
+            _ => return Tried::Final(CallReply::Refused(refusal)),
+        };
+        Tried::Again { except, refusal }
+    }
+
+    async fn open_lane(
+        self: &Arc<Self>,
+        running: &Running,
+        open: &OpenTransaction,
+        mut lent: Lent,
+        slot: SlotGuard,
+        mut commands: Vec<MemberCommand>,
+        floor: Option<LogPosition>,
+    ) -> Tried {
+        let member = lent.member.key.clone();
+        let is_read_only = open.is_read_only;
+        commands.push(MemberCommand::Begin { id: open.id.clone(), is_read_only, floor });
+        let exchanged = lent.exchange(&commands, running.deadline_ms, true).await;
+        let begun = match last_reply(exchanged, &commands) {
+            Ok(begun) => begun,
+            Err(error) => {
+                drop(slot);
+                let refusal = Refusal::new(Failure::Aborted, &format!("member {error}"));
+                return Tried::Again { except: Some(member), refusal };
+            }
+        };
+        match begun.result {
+            Ok(_) if begun.block == BlockState::Open => {}
+            Ok(_) => {
+                drop(slot);
+                let refusal = Refusal::new(Failure::Aborted, "the member began no transaction");
+                return Tried::Again { except: Some(member), refusal };
+            }
+            Err(ref refusal) => {
+                drop(slot);
+                let refusal = refusal.clone();
+                return match self.single_failed(refusal, true, &begun, lent) {
+                    Tried::Final(CallReply::Refused(refusal)) => {
+                        Tried::Final(refused(Failure::Aborted, &refusal.detail))
+                    }
+                    tried => tried,
+                };
+            }
+        }
+        let lane = Lane { lent, has_written: false, used_at_ms: now_ms() };
+        self.busy_lanes.fetch_add(1, Ordering::AcqRel);
+        let reply = self.run_step(running, None, lane, Some(slot)).await;
+        self.busy_lanes.fetch_sub(1, Ordering::AcqRel);
+        Tried::Final(reply)
+    }
+
+    async fn run_in_lane(self: &Arc<Self>, number: u64, running: Running) -> CallReply {
+        let Some(lane) = self.take_lane(number) else {
+            return refused(Failure::Aborted, "the transaction was rolled back");
+        };
+        if !self.is_valid() {
+            return refused(Failure::Aborted, "the owner of the service has changed");
+        }
+        if running.call.step == Step::Rollback {
+            self.roll_back(lane);
+            return CallReply::Done { answer: Answer::local(), lane: None };
+        }
+        self.busy_lanes.fetch_add(1, Ordering::AcqRel);
+        let reply = self.run_step(&running, Some(number), lane, None).await;
+        self.busy_lanes.fetch_sub(1, Ordering::AcqRel);
+        reply
+    }
+
+    /// Runs a statement of an open transaction.
+    async fn run_step(
+        self: &Arc<Self>,
+        running: &Running,
+        number: Option<u64>,
+        mut lane: Lane,
+        mut slot: Option<SlotGuard>,
+    ) -> CallReply {
+        let member = lane.lent.member.key.clone();
+        loop {
+            if slot.is_none() {
+                slot = self.lane_slot(running, &member).await;
+            }
+            if slot.is_none() {
+                return refused(Failure::Aborted, "no slot became free in time; rolled back");
+            }
+            if !self.is_valid() {
+                return refused(Failure::Aborted, "the owner of the service has changed");
+            }
+            let commands = step_commands(running, &mut lane);
+            let may_abandon =
+                !matches!(running.call.step, Step::Commit { .. }) || !lane.has_written;
+            let exchanged = lane.lent.exchange(&commands, running.deadline_ms, may_abandon).await;
+            slot = None;
+            let reply = match last_reply(exchanged, &commands) {
+                Ok(reply) => reply,
+                Err(error) => return self.step_lost(running, &lane, &member, &error),
+            };
+            let is_busy = reply.result.as_ref().is_err_and(|r| r.failure == Failure::Busy);
+            if is_busy && reply.block == BlockState::Open && now_ms() < running.deadline_ms {
+                tokio::time::sleep(BUSY_PAUSE).await;
+                continue;
+            }
+            return self.step_replied(running, number, lane, &reply);
+        }
+    }
+
+    async fn lane_slot(
+        self: &Arc<Self>,
+        running: &Running,
+        member: &MemberKey,
+    ) -> Option<SlotGuard> {
+        let request = SlotRequest {
+            need: Need::Lane(member.clone()),
+            tenant: running.call.tenant.clone(),
+            objective_at_ms: running.objective_at_ms,
+            priority: running.call.priority,
+        };
+        Some(self.acquire(request, running.deadline_ms).await?.slot)
+    }
+
+    fn step_lost(
+        &self,
+        running: &Running,
+        lane: &Lane,
+        member: &MemberKey,
+        error: &MemberError,
+    ) -> CallReply {
+        match &running.call.step {
+            Step::Commit { id } if lane.has_written => {
+                self.log_doubtful(id, member, error);
+                refused(Failure::InDoubt, &format!("commit may have run: member {error}"))
+            }
+            _ => refused(Failure::Aborted, &format!("rolled back: member {error}")),
+        }
+    }
+
+    fn step_replied(
+        self: &Arc<Self>,
+        running: &Running,
+        number: Option<u64>,
+        mut lane: Lane,
+        reply: &MemberReply,
+    ) -> CallReply {
+        let is_commit = matches!(running.call.step, Step::Commit { .. });
+        let writes_now = matches!(&running.call.step,
+            Step::Run(work) if work.access == Access::Write);
+        let result = self.settle(reply, is_commit && lane.has_written);
+        match result {
+            Ok(answer) if is_commit => {
+                if reply.block == BlockState::Idle {
+                    lane.lent.give_back();
+                }
+                CallReply::Done { answer, lane: None }
+            }
+            Ok(answer) if reply.block == BlockState::Open => {
+                lane.has_written |= writes_now;
+                lane.used_at_ms = now_ms();
+                match self.keep_lane(number, lane) {
+                    Some(number) => CallReply::Done { answer, lane: Some(number) },
+                    None => refused(Failure::Aborted, "the owner of the service has changed"),
+                }
+            }
+            Ok(_) => refused(Failure::Aborted, "the member left the transaction"),
+            Err(refusal) if is_commit => {
+                let is_promise = refusal.failure.is_not_run();
+                let failure = if is_promise { Failure::Aborted } else { refusal.failure };
+                refused(failure, &refusal.detail)
+            }
+            Err(refusal) => {
+                if matches!(refusal.failure, Failure::ReadOnly) {
+                    self.doubt(&lane.lent.member.key, refusal.failure.label());
+                }
+                let detail = format!("rolled back: {} {}", refusal.failure.label(), refusal.detail);
+                self.roll_back(lane);
+                refused(Failure::Aborted, &detail)
+            }
+        }
+    }
+
+    /// Turns a member's reply into an answer; a commit counts as acknowledged from here on.
+    fn settle(&self, reply: &MemberReply, is_commit: bool) -> Result<Answer, Refusal> {
+        let signature: Name = reply.result.clone()?;
+        if is_commit {
+            let Some(position) = reply.position else {
+                return Err(Refusal::new(Failure::InDoubt, "the member told no log position"));
+            };
+            if !self.is_valid() {
+                return Err(Refusal::new(Failure::InDoubt, "ran, but the owner has changed since"));
+            }
+            if let Some(history) = lock(&self.standing).history.as_mut() {
+                history.acknowledge(now_ms(), position);
+            }
+        }
+        Ok(Answer { rows: reply.rows.clone(), signature, position: reply.position })
+    }
+
+    fn log_doubtful(&self, id: &str, member: &MemberKey, error: &MemberError) {
+        log::warn!(
+            event = "outcome_unknown", id = id, service = &*self.name, member = &*member.id,
+            token = self.fencing_token, error = error.to_string(); ""
+        );
+    }
+}
+
+fn step_commands(running: &Running, lane: &mut Lane) -> Vec<MemberCommand> {
+    let mut commands = Vec::new();
+    match &running.call.step {
+        Step::Run(work) => {
+            let shape = match &work.form {
+                WorkForm::Execute { shape, .. } => Some(shape),
+                WorkForm::Text(_) => None,
+            };
+            if let Some(connection) = lane.lent.connection() {
+                commands = connection.prepare_for(&running.call.values, shape, false);
+            }
+            let id = work.id.clone();
+            commands.push(MemberCommand::Run { id, form: work.form.clone(), floor: None });
+        }
+        Step::Commit { id } => commands.push(MemberCommand::Commit { id: id.clone() }),
+        Step::Rollback => commands.push(MemberCommand::Rollback),
+    }
+    commands
+}
+
+/// Returns the reply to the last command, if all before it succeeded.
+fn last_reply(
+    exchanged: Result<Vec<MemberReply>, MemberError>,
+    commands: &[MemberCommand],
+) -> Result<MemberReply, MemberError> {
+    let mut replies = exchanged?;
+    let last = replies.pop().filter(|_| replies.len() + 1 == commands.len());
+    let Some(last) = last else {
+        return Err(MemberError::Protocol("a reply is missing".to_owned()));
+    };
+    match replies.iter().find_map(|reply| reply.result.as_ref().err()) {
+        Some(refusal) => Err(MemberError::Refused(refusal.clone())),
+        None => Ok(last),
+    }
+}
--- a/src/group.rs
+++ b/src/group.rs
@@ -5,7 +5,7 @@
 pub mod fair_queue;
 pub mod group_home;
 pub mod lane;
-pub mod log_position;
+pub use snipehead_core::log_position;
 pub mod member_connection;
 pub mod member_control;
 pub mod member_lane;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub mod caller;
 pub mod chart;
-pub mod clock;
+pub use snipehead_core::clock;
 pub mod control;
 pub mod daemon;
 pub mod fleet;
@@ -14,13 +14,13 @@
 pub mod limit;
 pub mod logging;
 pub mod metrics;
-pub mod name;
+pub use snipehead_core::name;
 pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod relay;
 pub mod settings;
-pub mod sync;
+pub use snipehead_core::sync;
 pub mod tls;
 pub mod traffic;
 pub mod wire;
