--- a/core/src/configuration.rs
+++ b/core/src/configuration.rs
@@ -1,13 +1,16 @@
 //! The configuration that operators put in force, in the product's terms.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::name::Name;
 
 /// What a route promises about reads.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Consistency {
     /// Every statement runs at the primary.
     Primary,
@@ -24,7 +27,7 @@
 }
 
 /// Where a database's statements go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route.
     pub name: Name,
@@ -45,7 +48,7 @@
 }
 
 /// A customer, with its rate over all nodes.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Name that members are told.
     pub name: Name,
@@ -56,7 +59,7 @@
 }
 
 /// Limits of a service's members.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceLimits {
     /// Name of the service.
     pub name: Name,
@@ -67,32 +70,30 @@
 }
 
 /// One version of the configuration, with the data centres that operators have taken out.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Version of the configuration; it only grows.
     pub version: u64,
     /// Routes by database name.
-    pub routes: HashMap<Name, Arc<Route>>,
+    pub routes: BTreeMap<Name, Arc<Route>>,
     /// Tenants by key.
-    pub tenants_by_key: HashMap<Name, Arc<Tenant>>,
+    pub tenants_by_key: BTreeMap<Name, Arc<Tenant>>,
     /// Services by name.
-    pub services: HashMap<Name, Arc<ServiceLimits>>,
+    pub services: BTreeMap<Name, Arc<ServiceLimits>>,
     /// Longest pause inside a transaction, in milliseconds.
     pub transaction_idle_ms: u64,
     /// Data centres whose members get nothing more.
-    pub evacuated: HashSet<Name>,
+    pub evacuated: BTreeSet<Name>,
 }
 
 impl Configuration {
     /// Returns the distinct tenants, by name.
-    pub fn tenants(&self) -> HashMap<Name, Arc<Tenant>> {
+    pub fn tenants(&self) -> BTreeMap<Name, Arc<Tenant>> {
         self.tenants_by_key.values().map(|tenant| (tenant.name.clone(), tenant.clone())).collect()
     }
 
     /// Returns the names of services in ascending order.
     pub fn service_names(&self) -> Vec<Name> {
-        let mut names: Vec<Name> = self.services.keys().cloned().collect();
-        names.sort();
-        names
+        self.services.keys().cloned().collect()
     }
 }
--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -1,6 +1,6 @@
 //! Which node owns which service, as far as this node has heard.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
@@ -26,7 +26,7 @@
 
 /// Owners of services. Newer lease records replace older ones.
 pub struct Directory {
-    owners: Mutex<HashMap<Name, Owner>>,
+    owners: Mutex<BTreeMap<Name, Owner>>,
     changes: watch::Sender<u64>,
 }
 
@@ -60,6 +60,12 @@
         lock(&self.owners).get(service).filter(|owner| !owner.is_released).cloned()
     }
 
+    /// Returns all owners, in ascending order of services.
+    pub fn owners(&self) -> Vec<(Name, Owner)> {
+        let owners = lock(&self.owners);
+        owners.iter().map(|(service, owner)| (service.clone(), owner.clone())).collect()
+    }
+
     /// Returns a receiver that sees each change of an owner.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- /dev/null
+++ b/core/src/knowledge.rs
@@ -0,0 +1,326 @@
+//! How a node learns the configuration, the owners of services, the nodes and the members.
+//!
+//! One node, the reader, reads the store: the owner of the first service. All others ask it and
+//! count its knowledge's age into theirs. A node reads the store itself while the reader does not
+//! answer, or its own knowledge grows old.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::now_ms;
+use crate::configuration::Configuration;
+use crate::directory::Owner;
+use crate::lease_book::LeaseRecord;
+use crate::name::Name;
+use crate::node::Node;
+use crate::ownership::LEASE_PREFIX;
+use crate::ownership::NodeRecord;
+use crate::ownership::learn_lease;
+use crate::ownership::rank;
+use crate::ownership::service_names;
+use crate::relay::News;
+use crate::relay::NewsAsk;
+use crate::store::Record;
+use crate::store::StoreError;
+use crate::store::WriteOutcome;
+use crate::sync::lock;
+
+/// Time between two rounds: a change must be in force within a few seconds, and the proof of its
+/// being the newest must not grow old.
+const ROUND_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time between two rounds while an owner is missing, and after a failed one.
+const URGENT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Greatest age of the reader's knowledge with which it counts, in milliseconds: beyond, the
+/// reader has lost the store.
+const NEWS_AGE_LIMIT_MS: u64 = 1_500;
+
+/// Candidates for a service that follow its lease: the owner and one more may be lost at once.
+const FOLLOWERS: u64 = 3;
+
+/// Prefix of the keys of nodes.
+const NODE_PREFIX: &str = "node/";
+
+/// Learns what there is to know, again and again.
+pub(crate) async fn keep_informed(node: Arc<Node>) {
+    let mut is_announced = false;
+    let mut has_failed = false;
+    loop {
+        let started_at_ms = now_ms();
+        let mut is_informed = is_announced && ask_reader(&node).await;
+        if !is_informed {
+            match read_store(&node, &mut is_announced).await {
+                Ok(()) => {
+                    is_informed = is_announced;
+                    if std::mem::take(&mut has_failed) {
+                        log::info!(event = "store_regained"; "");
+                    }
+                }
+                Err(error) => {
+                    if !std::mem::replace(&mut has_failed, true) {
+                        log::warn!(event = "store_lost", error = error.to_string(); "");
+                    }
+                }
+            }
+        }
+        node.lease_attention.notify_one();
+        let is_calm = is_informed && !has_overdue(&node);
+        let interval = if is_calm { ROUND_INTERVAL } else { URGENT_INTERVAL };
+        let spent = Duration::from_millis(now_ms().saturating_sub(started_at_ms));
+        tokio::select! {
+            () = node.stop.cancelled() => return,
+            () = tokio::time::sleep(URGENT_INTERVAL.saturating_sub(spent)) => {}
+        }
+        tokio::select! {
+            () = node.stop.cancelled() => return,
+            () = tokio::time::sleep(interval.saturating_sub(spent.max(URGENT_INTERVAL))) => {}
+            () = node.refresh.notified() => {}
+        }
+    }
+}
+
+fn has_overdue(node: &Node) -> bool {
+    let now_ms = now_ms();
+    let followed = followed_services(node);
+    let book = lock(&node.book);
+    followed.iter().any(|service| book.is_overdue(now_ms, service))
+}
+
+/// Returns the services that this node would take over early.
+fn followed_services(node: &Node) -> Vec<Name> {
+    let loads = lock(&node.book).load();
+    let services = service_names(node);
+    let follows = |service: &Name| rank(node, service, &loads).is_some_and(|r| r < FOLLOWERS);
+    services.into_iter().filter(|service| follows(service)).collect()
+}
+
+/// Returns where the reader is, unless this node is the reader or there is none.
+fn reader(node: &Node) -> Option<SocketAddr> {
+    let services = service_names(node);
+    let owner = services.iter().find_map(|service| node.directory.owner(service))?;
+    (owner.address != node.settings.identity.address).then_some(owner.address)
+}
+
+/// Asks the reader for news. Returns whether it had fresh ones.
+async fn ask_reader(node: &Node) -> bool {
+    let Some(address) = reader(node) else { return false };
+    let Some(known) = node.configuration.known() else { return false };
+    let owns_some = !lock(&node.services).is_empty();
+    let members = node.members.entries();
+    let ask = NewsAsk {
+        configuration: digest(&*known.configuration),
+        owners: owners_digest(node),
+        members: owns_some.then(|| members.map_or(0, |entries| digest(&*entries))),
+        wants_leases: owns_some || !followed_services(node).is_empty(),
+    };
+    let wants_members = ask.members.is_some();
+    let sent_at_ms = now_ms();
+    match node.peers.news(address, ask).await {
+        Ok(Some(news)) if news.proof_age_ms <= NEWS_AGE_LIMIT_MS => {
+            learn_news(node, news, known.configuration.version, sent_at_ms, wants_members);
+            !wants_members || node.members.entries().is_some()
+        }
+        Ok(news) => {
+            log::info!(
+                event = "reader_without_news", reader = address.to_string(),
+                age_ms = news.map_or(0, |news| news.proof_age_ms); ""
+            );
+            false
+        }
+        Err(error) => {
+            log::info!(
+                event = "reader_unreachable", reader = address.to_string(),
+                error = error.to_string(); ""
+            );
+            false
+        }
+    }
+}
+
+fn learn_news(node: &Node, news: News, version: u64, sent_at_ms: u64, wants_members: bool) {
+    let heard_at_ms = now_ms();
+    let proven_at_ms = sent_at_ms.saturating_sub(news.proof_age_ms);
+    match news.configuration {
+        Some(configuration) => learn_configuration(node, configuration, proven_at_ms),
+        None => node.configuration.confirm(version, proven_at_ms),
+    }
+    for record in news.nodes.unwrap_or_default() {
+        lock(&node.nodes).insert(record.name.clone(), record);
+    }
+    for (service, owner) in news.owners.unwrap_or_default() {
+        learn_owner(node, &service, owner);
+    }
+    match news.members {
+        Some(members) => node.members.learn(members),
+        None if wants_members => node.members.confirm(),
+        None => {}
+    }
+    for lease in news.leases {
+        let seen_at_ms = heard_at_ms.saturating_sub(lease.seen_for_ms);
+        learn_lease(node, seen_at_ms, &lease.service, lease.record, lease.version);
+    }
+}
+
+fn learn_owner(node: &Node, service: &Name, owner: Owner) {
+    if node.directory.learn(service, owner.clone()) {
+        log::info!(
+            event = "owner_changed", service = &**service, owner = &*owner.node,
+            version = owner.version, released = owner.is_released; ""
+        );
+    }
+}
+
+fn learn_configuration(node: &Node, configuration: Configuration, proven_at_ms: u64) {
+    let version = configuration.version;
+    let evacuated = configuration.evacuated.len();
+    if node.configuration.learn(configuration, proven_at_ms) {
+        log::info!(
+            event = "configuration_applied", version = version, zones_out = evacuated,
+            age_ms = now_ms().saturating_sub(proven_at_ms); ""
+        );
+    }
+}
+
+async fn read_store(node: &Node, is_announced: &mut bool) -> Result<(), StoreError> {
+    let store = &node.border.store;
+    let sent_at_ms = now_ms();
+    let owns_some = !lock(&node.services).is_empty();
+    let reading_members = async {
+        match owns_some {
+            true => store.read_members().await.map(Some),
+            false => Ok(None),
+        }
+    };
+    let (configuration, records, members) =
+        futures::join!(store.read_configuration(), store.read_records(), reading_members);
+    if let Ok(Some(configuration)) = &configuration {
+        learn_configuration(node, configuration.clone(), sent_at_ms);
+    }
+    if let Ok(Some(members)) = members {
+        node.members.learn(members);
+    }
+    let records = records?;
+    learn_records(node, &records);
+    if !*is_announced {
+        *is_announced = announce(node, &records).await;
+    }
+    configuration.map(drop)
+}
+
+/// Reads the list of members at once, for a service that has just come to this node.
+pub(crate) async fn learn_members(node: &Node) {
+    match node.border.store.read_members().await {
+        Ok(members) => node.members.learn(members),
+        Err(error) => {
+            log::info!(event = "discovery_failed", error = error.to_string(); "");
+            node.refresh.notify_one();
+        }
+    }
+}
+
+fn learn_records(node: &Node, records: &[Record]) {
+    let now_ms = now_ms();
+    for record in records {
+        if let Some(service) = record.key.strip_prefix(LEASE_PREFIX) {
+            match serde_json::from_slice::<LeaseRecord>(&record.value) {
+                Ok(lease) => learn_lease(node, now_ms, &service.into(), lease, record.version),
+                Err(error) => {
+                    log::warn!(
+                        event = "lease_unreadable", key = &*record.key,
+                        error = error.to_string(); ""
+                    );
+                }
+            }
+        } else if record.key.starts_with(NODE_PREFIX)
+            && let Ok(known) = serde_json::from_slice::<NodeRecord>(&record.value)
+        {
+            lock(&node.nodes).insert(known.name.clone(), known);
+        }
+    }
+    let mut book = lock(&node.book);
+    for service in service_names(node) {
+        let key = format!("{LEASE_PREFIX}{service}");
+        if !records.iter().any(|record| *record.key == *key) {
+            book.observe(now_ms, &service, None, 0);
+        }
+    }
+}
+
+/// Writes this node's record. Returns whether it is there.
+async fn announce(node: &Node, records: &[Record]) -> bool {
+    let identity = &node.settings.identity;
+    let key = format!("{NODE_PREFIX}{}", identity.node);
+    let present = records.iter().find(|record| *record.key == *key);
+    let record = NodeRecord {
+        name: identity.node.clone(),
+        address: identity.address,
+        incarnation: identity.incarnation,
+    };
+    lock(&node.nodes).insert(record.name.clone(), record.clone());
+    let Ok(value) = serde_json::to_vec(&record) else { return false };
+    if present.is_some_and(|present| present.value == value) {
+        return true;
+    }
+    let expected = present.map_or(0, |present| present.version);
+    matches!(
+        node.border.store.write_record(&key, &value, expected).await,
+        Ok(WriteOutcome::Written(_))
+    )
+}
+
+fn digest<Content>(content: &Content) -> u64
+where
+    Content: Serialize + ?Sized,
+{
+    serde_json::to_vec(content).map_or(0, |bytes| xxh3_64(&bytes))
+}
+
+/// Digest of owners and nodes. Renewals do not change it.
+fn owners_digest(node: &Node) -> u64 {
+    let owners: Vec<(Name, SocketAddr, bool)> = node
+        .directory
+        .owners()
+        .into_iter()
+        .map(|(service, owner)| (service, owner.address, owner.is_released))
+        .collect();
+    digest(&(owners, node_records(node)))
+}
+
+fn node_records(node: &Node) -> Vec<NodeRecord> {
+    let mut nodes: Vec<NodeRecord> = lock(&node.nodes).values().cloned().collect();
+    nodes.sort_by(|left, right| left.name.cmp(&right.name));
+    nodes
+}
+
+impl Node {
+    /// Tells what this node knows, if it is the reader.
+    pub fn news(&self, ask: &NewsAsk) -> Option<News> {
+        if reader(self).is_some() {
+            return None;
+        }
+        let known = self.configuration.known()?;
+        let has_new_owners = ask.owners != owners_digest(self);
+        let members = self.members.entries();
+        let new_members = match (ask.members, members) {
+            (Some(theirs), Some(entries)) if theirs != digest(&*entries) => Some(entries.to_vec()),
+            _ => None,
+        };
+        let has_new_configuration = ask.configuration != digest(&*known.configuration);
+        Some(News {
+            proof_age_ms: now_ms().saturating_sub(known.proven_at_ms),
+            configuration: has_new_configuration.then(|| (*known.configuration).clone()),
+            owners: has_new_owners.then(|| self.directory.owners()),
+            nodes: has_new_owners.then(|| node_records(self)),
+            members: new_members,
+            leases: match ask.wants_leases {
+                true => lock(&self.book).seen(now_ms()),
+                false => Vec::new(),
+            },
+        })
+    }
+}
--- a/core/src/lease_book.rs
+++ b/core/src/lease_book.rs
@@ -13,16 +13,17 @@
 use serde::Serialize;
 
 use crate::name::Name;
+use crate::relay::SeenLease;
 
-/// Validity of a lease after its renewal was sent, in milliseconds: bounds how long the sessions
-/// of a service wait when its owner goes dark.
-pub const LEASE_MS: u64 = 3_000;
+/// Validity of a lease after its renewal was sent, in milliseconds: outlasts an outage of the store
+/// of three seconds, and bounds how long a service waits when its owner goes dark.
+pub const LEASE_MS: u64 = 4_000;
 
 /// Time that a taker waits beyond the validity, in milliseconds: covers the drift of two clocks.
 pub const TAKEOVER_MARGIN_MS: u64 = 200;
 
-/// Time between two renewals, in milliseconds: three may fail before the lease lapses.
-pub const RENEW_INTERVAL_MS: u64 = 800;
+/// Time between two renewals, in milliseconds: several may fail before the lease lapses.
+pub const RENEW_INTERVAL_MS: u64 = 1_000;
 
 /// Time between two renewals after one failed, in milliseconds.
 const RENEW_RETRY_MS: u64 = 250;
@@ -108,7 +109,7 @@
         Self { me, leases: HashMap::new(), next_renewal: 1 }
     }
 
-    /// Takes note of a record that was read in a call which was sent at `sent_at_ms`.
+    /// Takes note of a record whose present version has been known since `now_ms`.
     pub fn observe(
         &mut self,
         now_ms: u64,
@@ -298,6 +299,19 @@
         load
     }
 
+    /// Returns all known leases, with the time for which each version has been known.
+    pub fn seen(&self, now_ms: u64) -> Vec<SeenLease> {
+        let known = self.leases.iter().filter_map(|(service, lease)| {
+            Some(SeenLease {
+                service: service.clone(),
+                record: lease.record.clone()?,
+                version: lease.version,
+                seen_for_ms: now_ms.saturating_sub(lease.seen_at_ms),
+            })
+        });
+        known.collect()
+    }
+
     /// Returns whether a lease is due to lapse without its holder having renewed it.
     pub fn is_overdue(&self, now_ms: u64, service: &Name) -> bool {
         self.leases.get(service).is_none_or(|lease| {
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::log_position::LogPosition;
 use crate::name::Name;
@@ -12,7 +14,7 @@
 use crate::statement::WorkForm;
 
 /// Identity of one life of a member.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct MemberKey {
     /// Name of the member, unique over all services.
     pub id: Name,
@@ -21,7 +23,7 @@
 }
 
 /// A member as service discovery lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberEntry {
     /// Which life of which member.
     pub key: MemberKey,
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -18,9 +18,11 @@
 use crate::configuration_watch::KnownConfiguration;
 use crate::directory::Directory;
 use crate::lease_book::Identity;
+use crate::lease_book::LEASE_MS;
 use crate::lease_book::LeaseBook;
 use crate::member::MemberConnector;
 use crate::member::PromotionOrders;
+use crate::member_directory::MemberDirectory;
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::outcome::Failure;
@@ -36,10 +38,15 @@
 use crate::statement::Access;
 use crate::store::MetadataStore;
 use crate::sync::lock;
+use crate::token_cache::TokenCache;
 
 /// Pause before a call that found no owner is tried again, unless a new owner is heard of.
 const OWNER_RETRY: Duration = Duration::from_millis(40);
 
+/// Rest of a silent owner's lease for which statements are held, in milliseconds: about what
+/// callers wait for an answer.
+const TAKEOVER_HOLD_MS: u64 = 800;
+
 /// Margin below the bound on withdrawn keys, in milliseconds: covers the way of a request.
 const FRESHNESS_MARGIN_MS: u64 = 400;
 
@@ -77,6 +84,8 @@
     pub(crate) peers: PeerPool,
     pub(crate) book: Mutex<LeaseBook>,
     pub(crate) services: Mutex<HashMap<Name, Arc<OwnedService>>>,
+    pub(crate) members: Arc<MemberDirectory>,
+    pub(crate) token_cache: Mutex<TokenCache>,
     pub(crate) nodes: Mutex<HashMap<Name, NodeRecord>>,
     pub(crate) refresh: Notify,
     pub(crate) lease_attention: Notify,
@@ -99,6 +108,8 @@
             directory: Directory::default(),
             peers: PeerPool::default(),
             services: Mutex::default(),
+            members: Arc::default(),
+            token_cache: Mutex::default(),
             nodes: Mutex::default(),
             refresh: Notify::new(),
             lease_attention: Notify::new(),
@@ -254,6 +265,11 @@
                 }
             }
             self.refresh.notify_one();
+            if let Some(wait_ms) = self.wait_for_takeover_ms(&call.service) {
+                let detail =
+                    format!("the owner of the service is silent; retry after {wait_ms} ms");
+                return (CallReply::Refused(Refusal::new(Failure::Busy, &detail)), None);
+            }
             if crate::clock::now_ms() + OWNER_RETRY.as_millis() as u64 >= hold_until_ms {
                 let refusal = Refusal::new(Failure::Busy, "the owner of the service is not known");
                 return (CallReply::Refused(refusal), None);
@@ -265,6 +281,15 @@
         }
     }
 
+    /// Returns in how many milliseconds another node may take over from a silent owner, if that
+    /// is too far off to wait for.
+    fn wait_for_takeover_ms(&self, service: &str) -> Option<u64> {
+        let owner = self.directory.owner(service)?;
+        let silent_ms = self.peers.silent_for_ms(owner.address)?;
+        let rest_ms = LEASE_MS.saturating_sub(silent_ms);
+        (rest_ms > TAKEOVER_HOLD_MS).then_some(rest_ms)
+    }
+
     /// Runs a statement at one node.
     ///
     /// # Errors
@@ -275,7 +300,8 @@
             return Ok(self.run_owned(call).await);
         }
         let service = call.service.clone();
-        let reply = self.peers.run(address, call).await;
+        let may_abandon = !call.may_take_effect();
+        let reply = self.peers.run(address, call, may_abandon).await;
         match &reply {
             Ok(CallReply::NotOwner { owner: Some(owner) }) => {
                 self.directory.learn(&service, owner.clone());
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -11,8 +11,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::now_ms;
-use crate::configuration::Configuration;
 use crate::directory::Owner;
+use crate::knowledge;
+use crate::lease_book::LEASE_MS;
 use crate::lease_book::LeaseRecord;
 use crate::lease_book::LeaseWrite;
 use crate::member::MemberEntry;
@@ -26,23 +27,9 @@
 use crate::service::OwnedService;
 use crate::service::OwnerNode;
 use crate::service::ServiceBorder;
-use crate::store::Record;
 use crate::store::WriteOutcome;
 use crate::sync::lock;
 
-/// Time between two reads of the configuration: must be in force within a few seconds, and the
-/// proof of its being the newest must not grow old.
-const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(1_000);
-
-/// Time between two reads of leases and nodes while nothing is amiss.
-const RECORDS_INTERVAL: Duration = Duration::from_millis(1_500);
-
-/// Shortest time between two reads of leases and nodes.
-const RECORDS_MIN_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Pause after a failed read of the store.
-const READ_RETRY: Duration = Duration::from_millis(250);
-
 /// Time between two looks at the lease book.
 const LEASE_TICK: Duration = Duration::from_millis(50);
 
@@ -53,18 +40,12 @@
 /// Longest wait for another node's answer whether it reaches a member.
 const REACH_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Greatest age of a configuration proof with which a node may become an heir, in milliseconds.
-const HEIR_PROOF_LIMIT_MS: u64 = 1_800;
-
-/// Age of the configuration proof at which owned services are offered to others, in milliseconds:
-/// some renewals have failed, and the lease still holds for a while.
-const STORE_LOST_LIMIT_MS: u64 = 1_700;
+/// Rest of a lease at which its service is offered to others, in milliseconds: two renewals have
+/// failed, and there is time to end what runs.
+const OFFER_REST_MS: u64 = 2_400;
 
 /// Prefix of the keys of leases.
-const LEASE_PREFIX: &str = "lease/";
-
-/// Prefix of the keys of nodes.
-const NODE_PREFIX: &str = "node/";
+pub(crate) const LEASE_PREFIX: &str = "lease/";
 
 /// A node, as it announces itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,125 +65,21 @@
 
 /// Starts the node's own tasks.
 pub fn start(node: &Arc<Node>) {
-    node.tasks.spawn(watch_configuration(node.clone()));
-    node.tasks.spawn(watch_records(node.clone()));
+    node.tasks.spawn(knowledge::keep_informed(node.clone()));
     node.tasks.spawn(keep_leases(node.clone()));
 }
 
-async fn watch_configuration(node: Arc<Node>) {
-    let mut has_failed = false;
-    loop {
-        let sent_at_ms = now_ms();
-        let wait = match node.border.store.read_configuration().await {
-            Ok(Some(configuration)) => {
-                if std::mem::take(&mut has_failed) {
-                    log::info!(event = "store_regained"; "");
-                }
-                learn_configuration(&node, configuration, sent_at_ms);
-                CONFIGURATION_INTERVAL
-            }
-            Ok(None) => READ_RETRY,
-            Err(error) => {
-                if !has_failed {
-                    log::warn!(event = "store_lost", error = error.to_string(); "");
-                }
-                has_failed = true;
-                READ_RETRY
-            }
-        };
-        let spent = Duration::from_millis(now_ms().saturating_sub(sent_at_ms));
-        tokio::select! {
-            () = node.stop.cancelled() => return,
-            () = tokio::time::sleep(wait.saturating_sub(spent)) => {}
-        }
-    }
-}
-
-fn learn_configuration(node: &Node, configuration: Configuration, sent_at_ms: u64) {
-    let version = configuration.version;
-    let evacuated = configuration.evacuated.len();
-    if node.configuration.learn(configuration, sent_at_ms) {
-        log::info!(
-            event = "configuration_applied", version = version, zones_out = evacuated,
-            age_ms = now_ms().saturating_sub(sent_at_ms); ""
-        );
-        node.lease_attention.notify_one();
-    }
-}
-
-async fn watch_records(node: Arc<Node>) {
-    let mut is_announced = false;
-    loop {
-        let started_at_ms = now_ms();
-        let wait = match node.border.store.read_records().await {
-            Ok(records) => {
-                learn_records(&node, &records);
-                if !is_announced {
-                    is_announced = announce(&node, &records).await;
-                }
-                if is_announced { RECORDS_INTERVAL } else { READ_RETRY }
-            }
-            Err(error) => {
-                log::debug!(event = "records_unread", error = error.to_string(); "");
-                READ_RETRY
-            }
-        };
-        let spent = Duration::from_millis(now_ms().saturating_sub(started_at_ms));
-        tokio::select! {
-            () = node.stop.cancelled() => return,
-            () = tokio::time::sleep(RECORDS_MIN_INTERVAL) => {}
-        }
-        let urgent = has_overdue(&node);
-        let rest = if urgent { RECORDS_MIN_INTERVAL } else { wait.saturating_sub(spent) };
-        tokio::select! {
-            () = node.stop.cancelled() => return,
-            () = tokio::time::sleep(rest) => {}
-            () = node.refresh.notified() => {}
-        }
-    }
-}
-
-fn has_overdue(node: &Node) -> bool {
-    let now_ms = now_ms();
-    let book = lock(&node.book);
-    service_names(node).iter().any(|service| book.is_overdue(now_ms, service))
-}
-
-fn service_names(node: &Node) -> Vec<Name> {
+pub(crate) fn service_names(node: &Node) -> Vec<Name> {
     node.configuration.known().map_or_else(Vec::new, |known| known.configuration.service_names())
 }
 
-fn learn_records(node: &Node, records: &[Record]) {
-    let now_ms = now_ms();
-    for record in records {
-        if let Some(service) = record.key.strip_prefix(LEASE_PREFIX) {
-            match serde_json::from_slice::<LeaseRecord>(&record.value) {
-                Ok(lease) => learn_lease(node, now_ms, &service.into(), lease, record.version),
-                Err(error) => {
-                    log::warn!(
-                        event = "lease_unreadable", key = &*record.key,
-                        error = error.to_string(); ""
-                    );
-                }
-            }
-        } else if record.key.starts_with(NODE_PREFIX)
-            && let Ok(known) = serde_json::from_slice::<NodeRecord>(&record.value)
-        {
-            lock(&node.nodes).insert(known.name.clone(), known);
-        }
-    }
-    let mut book = lock(&node.book);
-    for service in service_names(node) {
-        let key = format!("{LEASE_PREFIX}{service}");
-        if !records.iter().any(|record| *record.key == *key) {
-            book.observe(now_ms, &service, None, 0);
-        }
-    }
-    drop(book);
-    node.lease_attention.notify_one();
-}
-
-fn learn_lease(node: &Node, now_ms: u64, service: &Name, record: LeaseRecord, version: u64) {
+pub(crate) fn learn_lease(
+    node: &Node,
+    now_ms: u64,
+    service: &Name,
+    record: LeaseRecord,
+    version: u64,
+) {
     let owner = Owner {
         node: record.holder.clone(),
         address: record.address,
@@ -218,28 +95,6 @@
     }
 }
 
-/// Writes this node's record. Returns whether it is there.
-async fn announce(node: &Node, records: &[Record]) -> bool {
-    let identity = &node.settings.identity;
-    let key = format!("{NODE_PREFIX}{}", identity.node);
-    let present = records.iter().find(|record| *record.key == *key);
-    let record = NodeRecord {
-        name: identity.node.clone(),
-        address: identity.address,
-        incarnation: identity.incarnation,
-    };
-    lock(&node.nodes).insert(record.name.clone(), record.clone());
-    let Ok(value) = serde_json::to_vec(&record) else { return false };
-    if present.is_some_and(|present| present.value == value) {
-        return true;
-    }
-    let expected = present.map_or(0, |present| present.version);
-    matches!(
-        node.border.store.write_record(&key, &value, expected).await,
-        Ok(WriteOutcome::Written(_))
-    )
-}
-
 async fn keep_leases(node: Arc<Node>) {
     loop {
         tokio::select! {
@@ -263,7 +118,11 @@
 
 /// Returns this node's place among the candidates for a service: those with few services first,
 /// in an order that differs from service to service.
-fn rank(node: &Node, service: &Name, loads: &std::collections::HashMap<Name, u64>) -> Option<u64> {
+pub(crate) fn rank(
+    node: &Node,
+    service: &Name,
+    loads: &std::collections::HashMap<Name, u64>,
+) -> Option<u64> {
     if node.is_stopping() {
         return None;
     }
@@ -340,9 +199,10 @@
             continue;
         }
         let border = ServiceBorder {
+            zone: node.settings.zone.clone(),
             connector: node.border.connector.clone(),
             orders: node.border.orders.clone(),
-            store: node.border.store.clone(),
+            members: node.members.clone(),
             configuration: node.configuration.clone(),
             metrics: node.metrics.clone(),
             node: node.clone(),
@@ -350,6 +210,8 @@
         log::info!(event = "ownership_started", service = &*name, token = token; "");
         let service = OwnedService::start(name.clone(), border, token, valid_until_ms, pending);
         services.insert(name, service);
+        let node = node.clone();
+        node.tasks.clone().spawn(async move { knowledge::learn_members(&node).await });
     }
     drop(services);
     for (name, service) in ended {
@@ -375,29 +237,31 @@
 
 /// Gives services away when the store does not answer this node, in case it answers others.
 fn offer_when_store_is_lost(node: &Arc<Node>) {
-    let is_lost = node.configuration_age_ms().is_some_and(|age_ms| age_ms > STORE_LOST_LIMIT_MS);
-    if !is_lost || node.is_stopping() {
+    if node.is_stopping() {
         return;
     }
+    let now_ms = now_ms();
     let services: Vec<Name> = lock(&node.services)
         .iter()
-        .filter(|(_, service)| service.is_open() && service.may_offer(now_ms()))
+        .filter(|(_, service)| service.is_open() && service.rest_ms(now_ms) < OFFER_REST_MS)
+        .filter(|(_, service)| service.may_offer(now_ms))
         .map(|(name, _)| name.clone())
         .collect();
     for service in services {
         let node = node.clone();
         node.tasks.clone().spawn(async move {
-            // Without a node that reaches the store there is nobody to give the service to.
-            if let Some(heir) = find_heir(&node).await {
+            // A store that is away for all leaves nobody to give the service to.
+            let silence_ms = node.owned(&service).map_or(0, |owned| owned.unrenewed_ms(now_ms));
+            if let Some(heir) = find_heir(&node, silence_ms).await {
                 hand_over(&node, &service, Some(heir), "the store is out of reach").await;
             }
         });
     }
 }
 
-/// Returns the node that should take a service: it reaches the store, owns least, and has started
-/// last, so that a rolling restart does not reach it next.
-async fn find_heir(node: &Node) -> Option<Name> {
+/// Returns the node that should take a service: it has reached the store within `proof_limit_ms`,
+/// owns least, and has started last, so that a rolling restart does not reach it next.
+async fn find_heir(node: &Node, proof_limit_ms: u64) -> Option<Name> {
     let me = node.settings.identity.node.clone();
     let others: Vec<NodeRecord> =
         lock(&node.nodes).values().filter(|record| record.name != me).cloned().collect();
@@ -408,7 +272,7 @@
     let reports: Vec<(Name, PeerReport)> = join_all(asking).await.into_iter().flatten().collect();
     let loads = lock(&node.book).load();
     let fit = reports.into_iter().filter(|(_, report)| {
-        !report.is_stopping && report.proof_age_ms.is_some_and(|age| age < HEIR_PROOF_LIMIT_MS)
+        !report.is_stopping && report.proof_age_ms.is_some_and(|age| age < proof_limit_ms)
     });
     let best =
         fit.min_by_key(|(name, report)| (loads.get(name).copied().unwrap_or(0), report.uptime_ms));
@@ -423,7 +287,7 @@
     }
     let heir = match heir {
         Some(heir) => Some(heir),
-        None => find_heir(node).await,
+        None => find_heir(node, LEASE_MS / 2).await,
     };
     log::info!(
         event = "handover_started", service = &**service, reason = reason,
@@ -515,6 +379,10 @@
 
 #[async_trait::async_trait]
 impl OwnerNode for Node {
+    async fn admit_operation(&self, tenant: &Name) -> Result<(), u64> {
+        Node::admit_operation(self, tenant).await
+    }
+
     async fn record_promotion(&self, service: &Name, member: Option<Name>) -> bool {
         let write = lock(&self.book).set_pending_promotion(now_ms(), service, member);
         let Some(write) = write else { return false };
--- /dev/null
+++ b/core/src/rate_broker.rs
@@ -0,0 +1,92 @@
+//! Decides whether a tenant may start an operation, wherever its rate is counted.
+
+use std::net::SocketAddr;
+
+use crate::clock::now_ms;
+use crate::name::Name;
+use crate::node::Node;
+use crate::relay::TokenGrant;
+use crate::sync::lock;
+use crate::tenant_rates::home_service;
+use crate::token_cache::TokenAnswer;
+
+/// Time until another attempt while the place that counts a tenant does not answer, in
+/// milliseconds.
+const UNREACHABLE_RETRY_MS: u64 = 100;
+
+/// Rights that stand in for those of a place that does not answer, as a part of the tenant's
+/// rate: all nodes together stay within the tolerance of the rate, which is a tenth.
+const RESERVE_PART: f64 = 0.1;
+
+impl Node {
+    /// Takes the right to one operation of a tenant.
+    ///
+    /// # Errors
+    ///
+    /// Returns in how many milliseconds there will be one.
+    pub(crate) async fn admit_operation(&self, tenant: &Name) -> Result<(), u64> {
+        let Some(known) = self.configuration.known() else { return Ok(()) };
+        let configuration = known.configuration;
+        let Some(limits) = configuration.tenants_by_key.values().find(|t| t.name == *tenant) else {
+            // Callers of public routes have no rate to keep to.
+            return Ok(());
+        };
+        let Some(home) = home_service(&configuration, tenant) else { return Ok(()) };
+        if let Some(grant) = self.grant_tokens_of(&home, tenant, 1) {
+            return if grant.granted > 0 { Ok(()) } else { Err(grant.retry_after_ms) };
+        }
+        let count = match lock(&self.token_cache).take(now_ms(), tenant) {
+            TokenAnswer::Granted => return Ok(()),
+            TokenAnswer::Refused(wait_ms) => return Err(wait_ms),
+            TokenAnswer::Fetch(count) => count,
+        };
+        let grant = match self.directory.owner(&home) {
+            Some(owner) => self.fetch_tokens(owner.address, tenant, count).await,
+            None => None,
+        };
+        let services = configuration.services.len().max(1) as f64;
+        let reserve_per_s = limits.rate_per_s * RESERVE_PART / services;
+        let now_ms = now_ms();
+        let mut cache = lock(&self.token_cache);
+        match grant {
+            Some(grant) if cache.fetched(now_ms, tenant, grant.granted, grant.retry_after_ms) => {
+                Ok(())
+            }
+            Some(grant) => Err(grant.retry_after_ms),
+            None if cache.take_reserve(now_ms, tenant, reserve_per_s) => Ok(()),
+            None => {
+                self.refresh.notify_one();
+                Err(UNREACHABLE_RETRY_MS)
+            }
+        }
+    }
+
+    async fn fetch_tokens(
+        &self,
+        address: SocketAddr,
+        tenant: &Name,
+        count: u32,
+    ) -> Option<TokenGrant> {
+        match self.peers.take_tokens(address, tenant.clone(), count).await {
+            Ok(grant) => grant,
+            Err(error) => {
+                log::info!(
+                    event = "tokens_unreachable", tenant = &**tenant, peer = address.to_string(),
+                    error = error.to_string(); ""
+                );
+                None
+            }
+        }
+    }
+
+    /// Gives out rights to operations of a tenant that this node counts.
+    pub fn grant_tokens(&self, tenant: &Name, count: u32) -> Option<TokenGrant> {
+        let known = self.configuration.known()?;
+        let home = home_service(&known.configuration, tenant)?;
+        self.grant_tokens_of(&home, tenant, count)
+    }
+
+    fn grant_tokens_of(&self, home: &Name, tenant: &Name, count: u32) -> Option<TokenGrant> {
+        self.owned(home).filter(|service| service.is_valid())?.take_tokens(tenant, count)
+    }
+}
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -9,12 +9,16 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::configuration::Configuration;
 use crate::directory::Owner;
 use crate::lease_book::LeaseRecord;
 use crate::log_position::LogPosition;
+use crate::member::MemberEntry;
 use crate::name::Name;
 use crate::outcome::Answer;
 use crate::outcome::Refusal;
+use crate::ownership::NodeRecord;
+use crate::statement::Access;
 use crate::statement::Work;
 
 pub use crate::relay::client::PeerPool;
@@ -99,6 +103,19 @@
     pub priority: u32,
 }
 
+impl Call {
+    /// Returns whether the call can change data for good.
+    pub fn may_take_effect(&self) -> bool {
+        match &self.step {
+            Step::Run(work) => {
+                self.lane.is_none() && self.open.is_none() && work.access == Access::Write
+            }
+            Step::Commit { .. } => true,
+            Step::Rollback => false,
+        }
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallReply {
@@ -142,6 +159,58 @@
     pub is_stopping: bool,
 }
 
+/// What a node knows already, when it asks another for news.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsAsk {
+    /// Digest of its configuration.
+    pub configuration: u64,
+    /// Digest of its owners of services and nodes.
+    pub owners: u64,
+    /// Digest of its list of members; `None` if it needs no list.
+    pub members: Option<u64>,
+    /// Whether it needs the leases, to take over one that lapses.
+    pub wants_leases: bool,
+}
+
+/// A lease, with the time for which its record has not changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenLease {
+    /// Service whose lease it is.
+    pub service: Name,
+    /// The record.
+    pub record: LeaseRecord,
+    /// Its version.
+    pub version: u64,
+    /// For how long this version has been known, in milliseconds.
+    pub seen_for_ms: u64,
+}
+
+/// What a node knows that the asking one does not.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// For how long the configuration has not been proven to be the newest, in milliseconds.
+    pub proof_age_ms: u64,
+    /// The configuration, if it differs.
+    pub configuration: Option<Configuration>,
+    /// The owners of services, if they or the nodes differ.
+    pub owners: Option<Vec<(Name, Owner)>>,
+    /// The nodes, if they or the owners differ.
+    pub nodes: Option<Vec<NodeRecord>>,
+    /// The list of members, if it differs.
+    pub members: Option<Vec<MemberEntry>>,
+    /// The leases, if they were asked for.
+    pub leases: Vec<SeenLease>,
+}
+
+/// Rights to operations of a tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenGrant {
+    /// How many were granted.
+    pub granted: u32,
+    /// In how many milliseconds there will be one, if none was granted.
+    pub retry_after_ms: u64,
+}
+
 /// What nodes ask of each other.
 #[tarpc::service]
 pub trait Relay {
@@ -151,6 +220,10 @@
     async fn report() -> PeerReport;
     /// Takes over a lease whose holder has stopped acting. Returns the new owner if it did.
     async fn offer(offer: LeaseOffer) -> Option<Owner>;
+    /// Tells what the node knows; `None` if it does not read the store itself.
+    async fn news(ask: NewsAsk) -> Option<News>;
+    /// Takes rights to operations of a tenant from the owner of the tenant's home service.
+    async fn take_tokens(tenant: Name, count: u32) -> Option<TokenGrant>;
     /// Returns whether a member at an address answers the node.
     async fn reaches(service: Name, address: SocketAddr) -> bool;
 }
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -15,14 +15,19 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
+use crate::clock::now_ms;
 use crate::directory::Owner;
 use crate::name::Name;
 use crate::relay::Call;
 use crate::relay::CallReply;
 use crate::relay::LeaseOffer;
+use crate::relay::News;
+use crate::relay::NewsAsk;
 use crate::relay::PeerReport;
 use crate::relay::RelayClient;
+use crate::relay::TokenGrant;
 use crate::sync::lock;
 
 /// Longest wait for a connection to a node: many times the way between data centres.
@@ -31,6 +36,13 @@
 /// Time after which unacknowledged bytes end a connection: a far end without power says nothing.
 const DARK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time without any answer after which a node that owes one is checked: longer than nearly all
+/// statements.
+const QUIET_LIMIT: Duration = Duration::from_millis(250);
+
+/// Longest wait for the answer to a check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time beyond a statement's own deadline that the owner's answer may take on its way.
 const TRANSIT_MS: u64 = 150;
 
@@ -79,46 +91,147 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// The connection to one node, and whether that node answers.
+#[derive(Default)]
+struct PeerLink {
+    client: Option<RelayClient>,
+    heard_at_ms: u64,
+    silent_since_ms: Option<u64>,
+    connect_after_ms: u64,
+    is_checked: bool,
+    silent: CancellationToken,
+}
+
 /// Connections to other nodes, one each, made when they are needed.
 #[derive(Default)]
 pub struct PeerPool {
-    clients: Mutex<HashMap<SocketAddr, RelayClient>>,
+    links: Mutex<HashMap<SocketAddr, PeerLink>>,
 }
 
 impl PeerPool {
     async fn client(&self, address: SocketAddr) -> Result<RelayClient, RelayError> {
-        if let Some(client) = lock(&self.clients).get(&address) {
-            return Ok(client.clone());
+        {
+            let mut links = lock(&self.links);
+            let link = links.entry(address).or_default();
+            if let Some(client) = &link.client {
+                return Ok(client.clone());
+            }
+            if link.silent_since_ms.is_some() {
+                let now_ms = now_ms();
+                if now_ms < link.connect_after_ms {
+                    return Err(RelayError::NotSent("the node is silent".to_owned()));
+                }
+                link.connect_after_ms = now_ms + CONNECT_TIMEOUT.as_millis() as u64;
+            }
         }
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(RelayError::NotSent(error.to_string())),
-            Err(_) => return Err(RelayError::NotSent("no connection in time".to_owned())),
+            Err(_) => {
+                self.note_silent(address);
+                return Err(RelayError::NotSent("no connection in time".to_owned()));
+            }
         };
         watch_far_end(&stream).map_err(|error| RelayError::NotSent(error.to_string()))?;
         let framed = tarpc::tokio_util::codec::Framed::new(stream, frames());
         let transport = serde_transport::new(framed, Bincode::default());
         let client = RelayClient::new(tarpc::client::Config::default(), transport).spawn();
-        lock(&self.clients).insert(address, client.clone());
+        let mut links = lock(&self.links);
+        let link = links.entry(address).or_default();
+        link.client = Some(client.clone());
+        link.heard_at_ms = now_ms();
         Ok(client)
     }
 
     fn failed(&self, address: SocketAddr, error: &RpcError) -> RelayError {
-        lock(&self.clients).remove(&address);
+        let mut links = lock(&self.links);
+        if let Some(link) = links.get_mut(&address) {
+            link.client = None;
+        }
         RelayError::Lost(error.to_string())
     }
 
-    /// Runs a statement at another node.
+    fn heard(&self, address: SocketAddr) {
+        if let Some(link) = lock(&self.links).get_mut(&address) {
+            link.heard_at_ms = now_ms();
+            link.silent_since_ms = None;
+        }
+    }
+
+    fn note_silent(&self, address: SocketAddr) {
+        let mut links = lock(&self.links);
+        let link = links.entry(address).or_default();
+        if link.silent_since_ms.is_none() {
+            log::info!(event = "peer_silent", peer = address.to_string(); "");
+        }
+        link.client = None;
+        link.silent_since_ms.get_or_insert_with(now_ms);
+        std::mem::take(&mut link.silent).cancel();
+    }
+
+    /// Returns for how long a node has not answered, in milliseconds, if it does not.
+    pub fn silent_for_ms(&self, address: SocketAddr) -> Option<u64> {
+        let links = lock(&self.links);
+        Some(now_ms().saturating_sub(links.get(&address)?.silent_since_ms?))
+    }
+
+    /// Checks a node that owes answers and has said nothing for a while.
+    async fn check(&self, address: SocketAddr) {
+        {
+            let mut links = lock(&self.links);
+            let link = links.entry(address).or_default();
+            let quiet_ms = now_ms().saturating_sub(link.heard_at_ms);
+            if link.is_checked || quiet_ms < QUIET_LIMIT.as_millis() as u64 {
+                return;
+            }
+            link.is_checked = true;
+        }
+        let asked = tokio::time::timeout(CHECK_TIMEOUT, self.report(address)).await;
+        if let Some(link) = lock(&self.links).get_mut(&address) {
+            link.is_checked = false;
+        }
+        if !matches!(asked, Ok(Ok(_))) {
+            self.note_silent(address);
+        }
+    }
+
+    /// Runs a statement at another node. If nothing can be lost by it, the call ends as soon as
+    /// the node is found not to answer.
     ///
     /// # Errors
     ///
     /// Returns whether the call may have been carried out.
-    pub async fn run(&self, address: SocketAddr, call: Call) -> Result<CallReply, RelayError> {
+    pub async fn run(
+        &self,
+        address: SocketAddr,
+        call: Call,
+        may_abandon: bool,
+    ) -> Result<CallReply, RelayError> {
         let client = self.client(address).await?;
+        let silent = lock(&self.links).entry(address).or_default().silent.clone();
         let mut context = context::current();
         context.deadline = Instant::now() + Duration::from_millis(call.deadline_ms + TRANSIT_MS);
-        client.run(context, call).await.map_err(|error| self.failed(address, &error))
+        let running = client.run(context, call);
+        tokio::pin!(running);
+        loop {
+            tokio::select! {
+                biased;
+                ran = &mut running => {
+                    return match ran {
+                        Ok(reply) => {
+                            self.heard(address);
+                            Ok(reply)
+                        }
+                        Err(error) => Err(self.failed(address, &error)),
+                    };
+                }
+                () = silent.cancelled(), if may_abandon => {
+                    return Err(RelayError::Lost("the node is silent".to_owned()));
+                }
+                () = tokio::time::sleep(QUIET_LIMIT) => self.check(address).await,
+            }
+        }
     }
 
     /// Asks another node how it is.
@@ -129,7 +242,44 @@
     pub async fn report(&self, address: SocketAddr) -> Result<PeerReport, RelayError> {
         let client = self.client(address).await?;
         let asking = client.report(control_context());
-        asking.await.map_err(|error| self.failed(address, &error))
+        let answered = asking.await.map_err(|error| self.failed(address, &error))?;
+        self.heard(address);
+        Ok(answered)
+    }
+
+    /// Asks another node what it knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn news(
+        &self,
+        address: SocketAddr,
+        ask: NewsAsk,
+    ) -> Result<Option<News>, RelayError> {
+        let client = self.client(address).await?;
+        let asking = client.news(control_context(), ask);
+        let answered = asking.await.map_err(|error| self.failed(address, &error))?;
+        self.heard(address);
+        Ok(answered)
+    }
+
+    /// Takes rights to operations of a tenant.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn take_tokens(
+        &self,
+        address: SocketAddr,
+        tenant: Name,
+        count: u32,
+    ) -> Result<Option<TokenGrant>, RelayError> {
+        let client = self.client(address).await?;
+        let asking = client.take_tokens(control_context(), tenant, count);
+        let answered = asking.await.map_err(|error| self.failed(address, &error))?;
+        self.heard(address);
+        Ok(answered)
     }
 
     /// Offers a lease to another node.
@@ -144,7 +294,9 @@
     ) -> Result<Option<Owner>, RelayError> {
         let client = self.client(address).await?;
         let asking = client.offer(control_context(), offer);
-        asking.await.map_err(|error| self.failed(address, &error))
+        let answered = asking.await.map_err(|error| self.failed(address, &error))?;
+        self.heard(address);
+        Ok(answered)
     }
 
     /// Asks another node whether it reaches a member.
@@ -160,7 +312,9 @@
     ) -> Result<bool, RelayError> {
         let client = self.client(address).await?;
         let asking = client.reaches(control_context(), service, member);
-        asking.await.map_err(|error| self.failed(address, &error))
+        let answered = asking.await.map_err(|error| self.failed(address, &error))?;
+        self.heard(address);
+        Ok(answered)
     }
 }
 
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -22,8 +22,11 @@
 use crate::relay::Call;
 use crate::relay::CallReply;
 use crate::relay::LeaseOffer;
+use crate::relay::News;
+use crate::relay::NewsAsk;
 use crate::relay::PeerReport;
 use crate::relay::Relay;
+use crate::relay::TokenGrant;
 use crate::relay::client::frames;
 use crate::relay::client::watch_far_end;
 use crate::sync::lock;
@@ -58,6 +61,14 @@
         self.node.accept_offer(offer).await
     }
 
+    async fn news(self, _: Context, ask: NewsAsk) -> Option<News> {
+        self.node.news(&ask)
+    }
+
+    async fn take_tokens(self, _: Context, tenant: Name, count: u32) -> Option<TokenGrant> {
+        self.node.grant_tokens(&tenant, count)
+    }
+
     async fn reaches(self, _: Context, service: Name, address: SocketAddr) -> bool {
         self.node.reaches_member(&service, address).await
     }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -26,18 +26,21 @@
 use crate::clock::now_ms;
 use crate::commit_history::CommitHistory;
 use crate::configuration_watch::ConfigurationWatch;
+use crate::lease_book::LEASE_MS;
+use crate::lease_book::RENEW_INTERVAL_MS;
 use crate::member::MemberConnector;
 use crate::member::MemberKey;
 use crate::member::PromotionOrders;
+use crate::member_directory::MemberDirectory;
 use crate::metrics::Metrics;
 use crate::name::Name;
+use crate::relay::TokenGrant;
 use crate::service::connection::PooledConnection;
 use crate::service::lanes::Lane;
 use crate::service::lent::SlotGuard;
 use crate::service::pool::Grant;
 use crate::service::pool::Pool;
 use crate::service::pool::SlotRequest;
-use crate::store::MetadataStore;
 use crate::sync::lock;
 use crate::tenant_rates::TenantRates;
 
@@ -48,12 +51,14 @@
 
 /// What the owner of a service needs from its node.
 pub struct ServiceBorder {
+    /// Data centre of the node.
+    pub zone: Name,
     /// Opens connections to members.
     pub connector: Arc<dyn MemberConnector>,
     /// Carries out promotions.
     pub orders: Arc<dyn PromotionOrders>,
-    /// Lists members.
-    pub store: Arc<dyn MetadataStore>,
+    /// The newest list of the members of all services.
+    pub members: Arc<MemberDirectory>,
     /// The newest configuration.
     pub configuration: Arc<ConfigurationWatch>,
     /// Counters and latencies.
@@ -65,6 +70,13 @@
 /// What an owner asks of its node.
 #[async_trait::async_trait]
 pub trait OwnerNode: Send + Sync {
+    /// Takes the right to one operation of a tenant.
+    ///
+    /// # Errors
+    ///
+    /// Returns in how many milliseconds there will be one.
+    async fn admit_operation(&self, tenant: &Name) -> Result<(), u64>;
+
     /// Records which member's promotion is under way. Returns whether the store has it.
     async fn record_promotion(&self, service: &Name, member: Option<Name>) -> bool;
 
@@ -133,14 +145,14 @@
     ) -> Arc<Self> {
         let service = Arc::new(Self {
             name,
-            border,
             fencing_token,
             valid_until_ms: AtomicU64::new(valid_until_ms),
             is_closing: AtomicBool::new(false),
             is_handing_over: AtomicBool::new(false),
             offered_at_ms: AtomicU64::new(0),
             leave_wish: Mutex::default(),
-            pool: Mutex::default(),
+            pool: Mutex::new(Pool::new(border.zone.clone())),
+            border,
             tickets: Mutex::default(),
             standing: Mutex::default(),
             lanes: Mutex::default(),
@@ -171,6 +183,16 @@
         now_ms() < self.valid_until_ms.load(Ordering::Acquire)
     }
 
+    /// Returns for how much longer the lease holds, in milliseconds.
+    pub fn rest_ms(&self, now_ms: u64) -> u64 {
+        self.valid_until_ms.load(Ordering::Acquire).saturating_sub(now_ms)
+    }
+
+    /// Returns for how long renewals of the lease have been missing, in milliseconds.
+    pub fn unrenewed_ms(&self, now_ms: u64) -> u64 {
+        (LEASE_MS - RENEW_INTERVAL_MS).saturating_sub(self.rest_ms(now_ms))
+    }
+
     /// Returns whether new operations are taken.
     pub fn is_open(&self) -> bool {
         self.is_valid() && !self.is_closing.load(Ordering::Acquire)
@@ -247,6 +269,15 @@
         lock(&self.pool).members().values().map(|member| member.in_flight).sum()
     }
 
+    /// Gives out rights to operations of a tenant that is counted here.
+    pub fn take_tokens(&self, tenant: &str, count: u32) -> Option<TokenGrant> {
+        let known = self.border.configuration.known()?;
+        let now_ms = now_ms();
+        let mut standing = lock(&self.standing);
+        standing.rates.apply(now_ms, &self.name, &known.configuration);
+        standing.rates.take(now_ms, tenant, count)
+    }
+
     /// Waits for a slot until `deadline_ms`. `None` if there was none in time, or the service closes.
     async fn acquire(self: &Arc<Self>, request: SlotRequest, deadline_ms: u64) -> Option<Granted> {
         let (sender, receiver) = oneshot::channel();
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -18,12 +18,6 @@
 use crate::service::probe::ProbeLinks;
 use crate::sync::lock;
 
-/// Time between two reads of the list of members: a leaving member must be left within seconds.
-const DISCOVERY_INTERVAL: Duration = Duration::from_millis(1_000);
-
-/// Time between two reads while the list cannot be read or is empty.
-const DISCOVERY_RETRY: Duration = Duration::from_millis(250);
-
 /// Time between two looks at the members.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -51,41 +45,37 @@
 const MISSING_READS: u32 = 3;
 
 impl OwnedService {
-    /// Reads the list of members again and again.
+    /// Follows the list of members.
     pub(super) async fn discover(self: Arc<Self>) {
         let mut known: Vec<(MemberEntry, u32)> = Vec::new();
         let mut changes = self.border.configuration.changes();
+        let mut reads = self.border.members.reads();
+        reads.mark_changed();
         loop {
-            let wait = match self.border.store.read_members().await {
-                Ok(entries) => {
-                    known = merge(known, entries, &self.name);
-                    if known.is_empty() { DISCOVERY_RETRY } else { DISCOVERY_INTERVAL }
-                }
-                Err(error) => {
-                    log::info!(
-                        event = "discovery_failed", service = &*self.name,
-                        error = error.to_string(); ""
-                    );
-                    DISCOVERY_RETRY
-                }
-            };
-            self.apply_members(known.iter().map(|(entry, _)| entry.clone()).collect());
             tokio::select! {
                 () = self.stop.cancelled() => return,
-                () = tokio::time::sleep(wait) => {}
+                changed = reads.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    if let Some(entries) = self.border.members.entries() {
+                        known = merge(known, &entries, &self.name);
+                    }
+                }
                 changed = changes.changed() => {
                     if changed.is_err() {
                         return;
                     }
-                    self.apply_members(known.iter().map(|(entry, _)| entry.clone()).collect());
                 }
             }
+            self.apply_members(known.iter().map(|(entry, _)| entry.clone()).collect());
         }
     }
 
     fn apply_members(self: &Arc<Self>, entries: Vec<MemberEntry>) {
         let Some(known) = self.border.configuration.known() else { return };
         let configuration = known.configuration;
+        lock(&self.standing).rates.apply(now_ms(), &self.name, &configuration);
         let mut pool = lock(&self.pool);
         if let Some(limits) = configuration.services.get(&self.name) {
             pool.set_limits(limits.max_connections, limits.cold_per_s);
@@ -392,13 +382,13 @@
 /// Merges a newly read list into the known one.
 fn merge(
     known: Vec<(MemberEntry, u32)>,
-    read: Vec<MemberEntry>,
+    read: &[MemberEntry],
     service: &Name,
 ) -> Vec<(MemberEntry, u32)> {
     let mut merged: Vec<(MemberEntry, u32)> = read
-        .into_iter()
+        .iter()
         .filter(|entry| entry.service == *service)
-        .map(|entry| (entry, 0))
+        .map(|entry| (entry.clone(), 0))
         .collect();
     for (entry, misses) in known {
         let is_listed = merged.iter().any(|(listed, _)| listed.key.id == entry.key.id);
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -110,11 +110,14 @@
     is_primary_held: bool,
     max_connections: usize,
     cold_per_s: f64,
+    zone: Name,
 }
 
-impl<Conn> Default for Pool<Conn> {
-    fn default() -> Self {
+impl<Conn> Pool<Conn> {
+    /// Creates a pool for an owner in a data centre; its own members are preferred for reads.
+    pub fn new(zone: Name) -> Self {
         Self {
+            zone,
             members: BTreeMap::new(),
             waiting: BTreeMap::new(),
             next_ticket: 0,
@@ -286,7 +289,10 @@
                     let is_primary = self.primary.as_ref() == Some(key);
                     let needs_connection = !member.has_idle(&request.tenant);
                     let load = member.in_flight * 10 / member.entry.slots.max(1);
-                    load + usize::from(needs_connection) * 4 + usize::from(is_primary) * 3
+                    let is_remote = member.entry.zone != self.zone;
+                    load + usize::from(needs_connection) * 4
+                        + usize::from(is_primary) * 3
+                        + usize::from(is_remote) * 4
                 });
                 best.map(|(key, _)| key.clone())
             }
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -85,7 +85,7 @@
             return CallReply::NotOwner { owner: None };
         }
         if running.call.starts_operation
-            && let Some(reply) = self.refuse_beyond_rate(&running.call)
+            && let Some(reply) = self.refuse_beyond_rate(&running.call).await
         {
             return reply;
         }
@@ -112,24 +112,14 @@
         CallReply::Refused(refusal)
     }
 
-    fn refuse_beyond_rate(&self, call: &Call) -> Option<CallReply> {
-        let known = self.border.configuration.known()?;
-        let now_ms = now_ms();
-        let admitted = {
-            let mut standing = lock(&self.standing);
-            standing.rates.apply(now_ms, &known.configuration);
-            standing.rates.admit(now_ms, &call.tenant)
-        };
-        let wait_ms = admitted.err()?;
+    async fn refuse_beyond_rate(&self, call: &Call) -> Option<CallReply> {
+        let wait_ms = self.border.node.admit_operation(&call.tenant).await.err()?;
         self.border.metrics.refused(&call.tenant, "rate");
         log::debug!(
             event = "rate_refused", id = call.step.id(), tenant = &*call.tenant,
-            configuration = known.configuration.version, wait_ms = wait_ms.unwrap_or(0); ""
+            wait_ms = wait_ms; ""
         );
-        let detail = match wait_ms {
-            Some(wait_ms) => format!("tenant is beyond its rate; retry after {wait_ms} ms"),
-            None => "tenant has no rate".to_owned(),
-        };
+        let detail = format!("tenant is beyond its rate; retry after {wait_ms} ms");
         Some(refused(Failure::Busy, &detail))
     }
 
--- a/core/src/tenant_rates.rs
+++ b/core/src/tenant_rates.rs
@@ -1,15 +1,25 @@
-//! This node's part of each tenant's rate, free of input and output.
+//! Rates of tenants, counted at one place each, free of input and output.
 
 use std::collections::HashMap;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::configuration::Configuration;
 use crate::name::Name;
+use crate::relay::TokenGrant;
 use crate::token_bucket::TokenBucket;
 
-/// Buckets of one owned service, a bucket for each tenant.
+/// Returns the service whose owner counts a tenant's operations.
+///
+/// Each service has one owner at a time, so each tenant is counted at one place, whatever nodes
+/// do. When services change, the count moves.
+pub fn home_service(configuration: &Configuration, tenant: &str) -> Option<Name> {
+    let weight = |service: &&Name| xxh3_64(format!("{tenant}/{service}").as_bytes());
+    configuration.services.keys().max_by_key(weight).cloned()
+}
+
+/// Buckets of the tenants that one owner counts.
 ///
-/// Operations pass through the owners of services, and each service has one owner at a time.
-/// So the parts of a rate that the services have add up to the tenant's rate, whatever nodes do.
 /// A new owner starts with empty buckets: its predecessor may have spent the burst.
 #[derive(Debug, Default)]
 pub struct TenantRates {
@@ -18,30 +28,38 @@
 }
 
 impl TenantRates {
-    /// Applies a configuration.
-    pub fn apply(&mut self, now_ms: u64, configuration: &Configuration) {
+    /// Applies a configuration for the tenants that are counted at `service`.
+    pub fn apply(&mut self, now_ms: u64, service: &Name, configuration: &Configuration) {
         if self.version == Some(configuration.version) {
             return;
         }
         self.version = Some(configuration.version);
-        let parts = configuration.services.len().max(1) as f64;
-        let tenants = configuration.tenants();
+        let mut tenants = configuration.tenants();
+        tenants.retain(|name, _| home_service(configuration, name).as_ref() == Some(service));
         self.buckets.retain(|name, _| tenants.contains_key(name));
         for (name, tenant) in tenants {
             let bucket = self.buckets.entry(name).or_insert_with(|| TokenBucket::new(now_ms));
-            bucket.set(now_ms, tenant.rate_per_s / parts, (tenant.burst / parts).max(1.0));
+            bucket.set(now_ms, tenant.rate_per_s, tenant.burst);
         }
     }
 
-    /// Takes the right to one operation. Callers without a tenant have no rate to keep to.
-    ///
-    /// # Errors
-    ///
-    /// Returns in how many milliseconds there will be one, if ever.
-    pub fn admit(&mut self, now_ms: u64, tenant: &str) -> Result<(), Option<u64>> {
-        match self.buckets.get_mut(tenant) {
-            Some(bucket) => bucket.take(now_ms, 1.0),
-            None => Ok(()),
+    /// Takes up to `count` rights to operations. `None` if the tenant is not counted here.
+    pub fn take(&mut self, now_ms: u64, tenant: &str, count: u32) -> Option<TokenGrant> {
+        let bucket = self.buckets.get_mut(tenant)?;
+        let mut granted = 0;
+        while granted < count {
+            match bucket.take(now_ms, 1.0) {
+                Ok(()) => granted += 1,
+                Err(wait_ms) if granted == 0 => {
+                    let retry_after_ms = wait_ms.unwrap_or(NEVER_RETRY_MS);
+                    return Some(TokenGrant { granted, retry_after_ms });
+                }
+                Err(_) => break,
+            }
         }
+        Some(TokenGrant { granted, retry_after_ms: 0 })
     }
 }
+
+/// Time until a tenant without any rate is counted again, in milliseconds.
+const NEVER_RETRY_MS: u64 = 1_000;
