--- a/core/src/commit_history.rs
+++ b/core/src/commit_history.rs
@@ -17,15 +17,17 @@
 /// the start of its ownership on.
 #[derive(Clone, Debug)]
 pub struct CommitHistory {
+    term: u64,
     base: LogPosition,
     entries: VecDeque<(u64, LogPosition)>,
     newest: LogPosition,
 }
 
 impl CommitHistory {
-    /// Starts at the primary's position; all reads must include it.
-    pub fn new(base: LogPosition) -> Self {
-        Self { base, entries: VecDeque::new(), newest: base }
+    /// Starts at the position of a primary that leads `term`; all reads must include it. The
+    /// position may be of an earlier term, until the primary commits something.
+    pub fn new(term: u64, base: LogPosition) -> Self {
+        Self { term, base, entries: VecDeque::new(), newest: base }
     }
 
     /// Notes that a commit at `position` is about to be acknowledged at `now_ms`.
@@ -58,9 +60,14 @@
         reached.map_or(self.base, |(_, position)| *position).max(self.base)
     }
 
+    /// Returns the term whose primary acknowledges.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
     /// Replaces positions of terms that ended: what survived them is within the present base.
     pub fn translate(&self, floor: LogPosition) -> LogPosition {
-        match floor.term < self.base.term {
+        match floor.term < self.term {
             true => self.base,
             false => floor,
         }
--- a/core/src/failover.rs
+++ b/core/src/failover.rs
@@ -10,10 +10,10 @@
 
 /// Time for which a primary must be silent before it is replaced, in milliseconds: longer than
 /// a probe with its timeout, repeated.
-pub const SILENT_LIMIT_MS: u64 = 900;
+pub const SILENT_LIMIT_MS: u64 = 750;
 
 /// Longest wait of a new owner for a member that says it is primary, in milliseconds.
-const SEARCH_LIMIT_MS: u64 = 1_000;
+const SEARCH_LIMIT_MS: u64 = 600;
 
 /// A member as the owner of its service sees it.
 #[derive(Clone, Debug)]
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -115,6 +115,7 @@
                 () = self.attention.notified() => {}
             }
             if !self.is_valid() {
+                self.let_go();
                 continue;
             }
             let due = self.due_probes();
@@ -143,6 +144,19 @@
         }
     }
 
+    /// Leaves the members to the next owner once the lease has lapsed.
+    fn let_go(&self) {
+        let surplus = lock(&self.pool).take_all_idle();
+        let lanes = std::mem::take(&mut *lock(&self.lanes));
+        if !surplus.is_empty() || !lanes.is_empty() {
+            log::warn!(
+                event = "lease_lapsed", service = &*self.name, token = self.fencing_token,
+                connections = surplus.len(), transactions = lanes.len();
+                "the store has not confirmed the lease"
+            );
+        }
+    }
+
     fn due_probes(&self) -> Vec<MemberEntry> {
         let now_ms = now_ms();
         let pool = lock(&self.pool);
@@ -202,10 +216,10 @@
         {
             let mut standing = lock(&self.standing);
             let is_same_term = standing.history.as_ref().is_some_and(|history| {
-                history.newest().term == status.term && history.newest() <= status.position
+                history.term() == status.term && history.newest() <= status.position
             });
             if !is_same_term {
-                standing.history = Some(CommitHistory::new(status.position));
+                standing.history = Some(CommitHistory::new(status.term, status.position));
             }
         }
         {
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -384,6 +384,16 @@
         None
     }
 
+    /// Takes all connections at rest out of the pool.
+    pub fn take_all_idle(&mut self) -> Vec<Conn> {
+        let mut taken = Vec::new();
+        for member in self.members.values_mut() {
+            member.open = member.open.saturating_sub(member.idle.len());
+            taken.append(&mut member.idle);
+        }
+        taken
+    }
+
     /// Takes note that a connection is gone.
     pub fn connection_ended(&mut self, key: &MemberKey) {
         if let Some(member) = self.members.get_mut(key) {
