Let only nodes that follow a lease take it over

Cause: nodes that no longer read leases took their last sight for a lapse and tried a conditional write each 4 s: 14 writes a second for one lease on the site of 68 machines (traced by node; all refused by the store's condition). Change: a takeover needs a sight of the record within 2 s; nodes that miss an owner ask for the leases. Ruled out: renewals by the holder, which come once a second as meant.

--- a/core/src/knowledge.rs
+++ b/core/src/knowledge.rs
@@ -99,6 +99,11 @@
     services.into_iter().filter(|service| follows(service)).collect()
 }
 
+fn is_owner_missing(node: &Node, service: &str) -> bool {
+    let owner = node.directory.owner(service);
+    owner.is_none_or(|owner| node.peers.silent_for_ms(owner.address).is_some())
+}
+
 /// Returns where the reader is, unless this node is the reader or there is none.
 fn reader(node: &Node) -> Option<SocketAddr> {
     let services = service_names(node);
@@ -116,7 +121,9 @@
         configuration: digest(&*known.configuration),
         owners: owners_digest(node),
         members: owns_some.then(|| members.map_or(0, |entries| digest(&*entries))),
-        wants_leases: owns_some || !followed_services(node).is_empty(),
+        wants_leases: owns_some
+            || !followed_services(node).is_empty()
+            || service_names(node).iter().any(|service| is_owner_missing(node, service)),
     };
     let wants_members = ask.members.is_some();
     let sent_at_ms = now_ms();
@@ -163,6 +170,7 @@
     for lease in news.leases {
         let seen_at_ms = heard_at_ms.saturating_sub(lease.seen_for_ms);
         learn_lease(node, seen_at_ms, &lease.service, lease.record, lease.version);
+        lock(&node.book).heard(proven_at_ms, &lease.service);
     }
 }
 
--- a/core/src/lease_book.rs
+++ b/core/src/lease_book.rs
@@ -34,6 +34,10 @@
 /// Head start of the heir that a released lease names, in milliseconds.
 const HEIR_DELAY_MS: u64 = 400;
 
+/// Age of the last sight of a lease beyond which this process takes no lease over, in
+/// milliseconds: several reads of the leases.
+const HEARSAY_LIMIT_MS: u64 = 2_000;
+
 /// Renewals whose sending time is remembered.
 const KEPT_RENEWALS: usize = 32;
 
@@ -85,6 +89,8 @@
     version: u64,
     /// When this version was first seen.
     seen_at_ms: u64,
+    /// When the record was last seen, changed or not.
+    heard_at_ms: u64,
     /// Version with which this process acquired the lease.
     acquired_version: Option<u64>,
     valid_until_ms: u64,
@@ -119,6 +125,7 @@
     ) {
         let is_new = !self.leases.contains_key(service);
         let lease = self.leases.entry(service.clone()).or_default();
+        lease.heard_at_ms = lease.heard_at_ms.max(now_ms);
         if !is_new && version <= lease.version {
             return;
         }
@@ -149,6 +156,13 @@
         lease.record = record;
     }
 
+    /// Takes note that the known record was the present one at `at_ms`.
+    pub fn heard(&mut self, at_ms: u64, service: &Name) {
+        if let Some(lease) = self.leases.get_mut(service) {
+            lease.heard_at_ms = lease.heard_at_ms.max(at_ms);
+        }
+    }
+
     /// Allows this process to take a lease that its holder offered to it at `version`.
     pub fn accept_offer(&mut self, now_ms: u64, service: &Name, record: LeaseRecord, version: u64) {
         self.observe(now_ms, service, Some(record), version);
@@ -182,6 +196,8 @@
                 true
             }
             _ if lease.is_offered => true,
+            // The holder may have renewed it since.
+            _ if now_ms > lease.heard_at_ms + HEARSAY_LIMIT_MS => false,
             record => now_ms >= lease.seen_at_ms + self.delay_ms(record.as_ref(), rank(service)?),
         };
         may_write.then(|| self.write(now_ms, service, false, None)).flatten()
