Spread leases over partitions, read changes instead of whole tables, tell a slow store from a lost one

Change: 16 lease partitions; the reader reads changes by version and all records every 20 s; a store that answers a read is slow, not lost; a third of the connections is left to a next owner; a new owner starts a tenant with 6 operations.

--- a/core/src/knowledge.rs
+++ b/core/src/knowledge.rs
@@ -43,6 +43,12 @@
 /// Candidates for a service that follow its lease: the owner and one more may be lost at once.
 const FOLLOWERS: u64 = 3;
 
+/// Time between two whole reads of the records, in milliseconds: the store keeps as much history.
+const WHOLE_READ_INTERVAL_MS: u64 = 20_000;
+
+/// Partition of the records of nodes.
+const NODE_PARTITION: &str = "nodes";
+
 /// Prefix of the keys of nodes.
 const NODE_PREFIX: &str = "node/";
 
@@ -205,7 +211,7 @@
         }
     };
     let (configuration, records, members) =
-        futures::join!(store.read_configuration(), store.read_records(), reading_members);
+        futures::join!(store.read_configuration(), read_own_records(node), reading_members);
     if let Ok(Some(configuration)) = &configuration {
         learn_configuration(node, configuration.clone(), sent_at_ms);
     }
@@ -213,13 +219,30 @@
         node.members.learn(members);
     }
     let records = records?;
-    learn_records(node, &records);
+    learn_records(node, &records, sent_at_ms);
     if !*is_announced {
         *is_announced = announce(node, &records).await;
     }
     configuration.map(drop)
 }
 
+/// Reads the records that changed since the last time, or all.
+async fn read_own_records(node: &Node) -> Result<Vec<Record>, StoreError> {
+    let known = *lock(&node.records_version);
+    // The history may have left changes out; a whole read now and then finds them.
+    let known = known.filter(|(_, read_at_ms)| now_ms() < read_at_ms + WHOLE_READ_INTERVAL_MS);
+    if let Some((after, read_at_ms)) = known
+        && let Some((records, version)) = node.border.store.read_changes(after).await?
+    {
+        *lock(&node.records_version) = Some((version, read_at_ms));
+        return Ok(records);
+    }
+    let read_at_ms = now_ms();
+    let (records, version) = node.border.store.read_records().await?;
+    *lock(&node.records_version) = Some((version, read_at_ms));
+    Ok(records)
+}
+
 /// Reads the list of members at once, for a service that has just come to this node.
 pub(crate) async fn learn_members(node: &Node) {
     match node.border.store.read_members().await {
@@ -231,7 +254,7 @@
     }
 }
 
-fn learn_records(node: &Node, records: &[Record]) {
+fn learn_records(node: &Node, records: &[Record], sent_at_ms: u64) {
     let now_ms = now_ms();
     for record in records {
         if let Some(service) = record.key.strip_prefix(LEASE_PREFIX) {
@@ -252,10 +275,10 @@
     }
     let mut book = lock(&node.book);
     for service in service_names(node) {
-        let key = format!("{LEASE_PREFIX}{service}");
-        if !records.iter().any(|record| *record.key == *key) {
+        if book.record(&service).is_none() {
             book.observe(now_ms, &service, None, 0);
         }
+        book.heard(sent_at_ms, &service);
     }
 }
 
@@ -263,22 +286,28 @@
 async fn announce(node: &Node, records: &[Record]) -> bool {
     let identity = &node.settings.identity;
     let key = format!("{NODE_PREFIX}{}", identity.node);
-    let present = records.iter().find(|record| *record.key == *key);
-    let record = NodeRecord {
-        name: identity.node.clone(),
-        address: identity.address,
-        incarnation: identity.incarnation,
-    };
+    let present = records.iter().rev().find(|record| *record.key == *key);
+    let record = NodeRecord { name: identity.node.clone(), address: identity.address };
     lock(&node.nodes).insert(record.name.clone(), record.clone());
     let Ok(value) = serde_json::to_vec(&record) else { return false };
     if present.is_some_and(|present| present.value == value) {
         return true;
     }
     let expected = present.map_or(0, |present| present.version);
-    matches!(
-        node.border.store.write_record(&key, &value, expected).await,
-        Ok(WriteOutcome::Written(_))
-    )
+    let store = &node.border.store;
+    match store.write_record(NODE_PARTITION, &key, &value, expected).await {
+        Ok(WriteOutcome::Written(_)) => true,
+        Ok(WriteOutcome::Conflict(Some(present))) if present.value == value => true,
+        Ok(WriteOutcome::Conflict(Some(present))) => {
+            let written = store.write_record(NODE_PARTITION, &key, &value, present.version).await;
+            matches!(written, Ok(WriteOutcome::Written(_)))
+        }
+        Ok(WriteOutcome::Conflict(None)) => false,
+        Err(error) => {
+            log::info!(event = "announcement_failed", error = error.to_string(); "");
+            false
+        }
+    }
 }
 
 fn digest<Content>(content: &Content) -> u64
--- a/core/src/lease_book.rs
+++ b/core/src/lease_book.rs
@@ -25,8 +25,9 @@
 /// Time between two renewals, in milliseconds: several may fail before the lease lapses.
 pub const RENEW_INTERVAL_MS: u64 = 1_000;
 
-/// Time between two renewals after one failed, in milliseconds.
-const RENEW_RETRY_MS: u64 = 250;
+/// Time between two writes of a lease without an answer, in milliseconds: longer than a write at
+/// a slow store, so that writes do not pile up there.
+const RENEW_RETRY_MS: u64 = 400;
 
 /// Head start of each better placed candidate, in milliseconds: longer than a conditional write.
 const RANK_DELAY_MS: u64 = 150;
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -40,13 +40,26 @@
 /// Longest wait for another node's answer whether it reaches a member.
 const REACH_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Rest of a lease at which its service is offered to others, in milliseconds: two renewals have
-/// failed, and there is time to end what runs.
-const OFFER_REST_MS: u64 = 2_400;
+/// Rest of a lease at which its service is offered to others although the store is not known to
+/// be lost, in milliseconds: the time to end what runs.
+const OFFER_REST_MS: u64 = 1_200;
+
+/// Time without an answer to a write after which the store is asked for a read: longer than a
+/// write usually takes, shorter than one at a slow store.
+const SLOW_WRITE: Duration = Duration::from_millis(500);
 
 /// Prefix of the keys of leases.
 pub(crate) const LEASE_PREFIX: &str = "lease/";
 
+/// Partitions over which leases are spread: each serves its writes one after the other, and few
+/// a second while the store is slow.
+const LEASE_PARTITIONS: u64 = 16;
+
+/// Returns the partition of a service's lease.
+fn lease_partition(service: &str) -> String {
+    format!("leases-{}", xxh3_64(service.as_bytes()) % LEASE_PARTITIONS)
+}
+
 /// A node, as it announces itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -54,8 +67,6 @@
     pub name: Name,
     /// Where other nodes reach it.
     pub address: SocketAddr,
-    /// Its process.
-    pub incarnation: u64,
 }
 
 /// Returns an identity for a new process.
@@ -138,8 +149,32 @@
 async fn write_lease(node: &Arc<Node>, write: LeaseWrite) -> bool {
     let key = format!("{LEASE_PREFIX}{}", write.service);
     let Ok(value) = serde_json::to_vec(&write.record) else { return false };
-    let outcome = node.border.store.write_record(&key, &value, write.expected).await;
+    let owned = node.owned(&write.service);
+    let partition = lease_partition(&write.service);
+    let writing = node.border.store.write_record(&partition, &key, &value, write.expected);
+    tokio::pin!(writing);
+    let outcome = tokio::select! {
+        outcome = &mut writing => outcome,
+        () = tokio::time::sleep(SLOW_WRITE) => {
+            // A store that answers a read is slow, and not lost.
+            if let Some(owned) = &owned
+                && !matches!(
+                    tokio::time::timeout(SLOW_WRITE, node.border.store.read_records()).await,
+                    Ok(Ok(_))
+                )
+            {
+                owned.note_store_lost();
+            }
+            writing.await
+        }
+    };
     let now_ms = now_ms();
+    if let Some(owned) = &owned {
+        match &outcome {
+            Ok(_) => owned.note_store_answer(),
+            Err(_) => owned.note_store_failure(),
+        }
+    }
     let written = match outcome {
         Ok(WriteOutcome::Written(version)) => {
             learn_lease(node, now_ms, &write.service, write.record, version);
@@ -243,7 +278,10 @@
     let now_ms = now_ms();
     let services: Vec<Name> = lock(&node.services)
         .iter()
-        .filter(|(_, service)| service.is_open() && service.rest_ms(now_ms) < OFFER_REST_MS)
+        .filter(|(_, service)| {
+            let is_due = service.has_lost_store() || service.rest_ms(now_ms) < OFFER_REST_MS;
+            service.is_open() && is_due
+        })
         .filter(|(_, service)| service.may_offer(now_ms))
         .map(|(name, _)| name.clone())
         .collect();
@@ -388,7 +426,8 @@
         let Some(write) = write else { return false };
         let key = format!("{LEASE_PREFIX}{}", write.service);
         let Ok(value) = serde_json::to_vec(&write.record) else { return false };
-        match self.border.store.write_record(&key, &value, write.expected).await {
+        let partition = lease_partition(service);
+        match self.border.store.write_record(&partition, &key, &value, write.expected).await {
             Ok(WriteOutcome::Written(version)) => {
                 learn_lease(self, now_ms(), service, write.record, version);
                 true
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -49,6 +49,9 @@
 /// Longest wait for an answer to a call between nodes that runs no statement.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest wait until another node has taken a lease: it writes to the store meanwhile.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Greatest frame between nodes, in bytes: a message of 1 MiB and what surrounds it.
 pub(crate) const MAX_FRAME_BYTES: usize = 4 << 20;
 
@@ -293,7 +296,9 @@
         offer: LeaseOffer,
     ) -> Result<Option<Owner>, RelayError> {
         let client = self.client(address).await?;
-        let asking = client.offer(control_context(), offer);
+        let mut context = context::current();
+        context.deadline = Instant::now() + OFFER_TIMEOUT;
+        let asking = client.offer(context, offer);
         let answered = asking.await.map_err(|error| self.failed(address, &error))?;
         self.heard(address);
         Ok(answered)
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -46,6 +46,9 @@
 
 pub(crate) use crate::service::probe::OWN_NAME;
 
+/// Failures in a row after which the store counts as lost: one may be a lost answer.
+const STORE_LOST_FAILURES: u64 = 2;
+
 /// Time between two attempts to give a service away, in milliseconds.
 const OFFER_INTERVAL_MS: u64 = 500;
 
@@ -116,6 +119,7 @@
     is_closing: AtomicBool,
     is_handing_over: AtomicBool,
     offered_at_ms: AtomicU64,
+    store_failures: AtomicU64,
     leave_wish: Mutex<Option<LeaveWish>>,
     pool: Mutex<Pool<PooledConnection>>,
     tickets: Mutex<HashMap<u64, oneshot::Sender<Granted>>>,
@@ -150,6 +154,7 @@
             is_closing: AtomicBool::new(false),
             is_handing_over: AtomicBool::new(false),
             offered_at_ms: AtomicU64::new(0),
+            store_failures: AtomicU64::new(0),
             leave_wish: Mutex::default(),
             pool: Mutex::new(Pool::new(border.zone.clone())),
             border,
@@ -188,6 +193,26 @@
         self.valid_until_ms.load(Ordering::Acquire).saturating_sub(now_ms)
     }
 
+    /// Takes note that the store answered a write.
+    pub fn note_store_answer(&self) {
+        self.store_failures.store(0, Ordering::Release);
+    }
+
+    /// Takes note that a write to the store failed.
+    pub fn note_store_failure(&self) {
+        self.store_failures.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Takes note that the store answers neither a write nor a read.
+    pub fn note_store_lost(&self) {
+        self.store_failures.fetch_add(STORE_LOST_FAILURES, Ordering::AcqRel);
+    }
+
+    /// Returns whether the store does not serve this node.
+    pub fn has_lost_store(&self) -> bool {
+        self.store_failures.load(Ordering::Acquire) >= STORE_LOST_FAILURES
+    }
+
     /// Returns for how long renewals of the lease have been missing, in milliseconds.
     pub fn unrenewed_ms(&self, now_ms: u64) -> u64 {
         (LEASE_MS - RENEW_INTERVAL_MS).saturating_sub(self.rest_ms(now_ms))
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -315,6 +315,12 @@
         self.max_connections - RESERVED_CONNECTIONS
     }
 
+    /// Connections that stay open at rest. The others are left to a next owner: those of one that
+    /// went dark linger at the members for seconds.
+    fn rest_limit(&self) -> usize {
+        (self.connection_limit() * 2 / 3).max(1)
+    }
+
     fn is_warm(&self, now_ms: u64, member: &PoolMember<Conn>) -> bool {
         if self.cold_per_s <= 0.0 || now_ms >= member.cold_until_ms {
             return true;
@@ -372,16 +378,20 @@
         }
     }
 
-    /// Gives a connection back. Returns it if it is of no use any more.
+    /// Gives a connection back. Returns one to close, if there are too many.
     pub fn give_back(&mut self, key: &MemberKey, connection: Conn) -> Option<Conn> {
-        let limit = self.connection_limit();
+        let limit = self.rest_limit();
         let Some(member) = self.members.get_mut(key) else { return Some(connection) };
-        if member.must_leave || member.open > limit {
+        if member.must_leave {
             member.open = member.open.saturating_sub(1);
             return Some(connection);
         }
         member.idle.push(connection);
-        None
+        if member.open <= limit {
+            return None;
+        }
+        member.open -= 1;
+        Some(member.idle.remove(0))
     }
 
     /// Takes all connections at rest out of the pool.
--- a/core/src/store.rs
+++ b/core/src/store.rs
@@ -9,7 +9,9 @@
 /// A record of the system's own.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
-    /// Its key.
+    /// Partition of the store that holds it; each serves its writes one after the other.
+    pub partition: Name,
+    /// Its key, unique over all partitions.
     pub key: Name,
     /// Its value.
     pub value: Vec<u8>,
@@ -64,12 +66,20 @@
     /// Returns why they could not be read.
     async fn read_members(&self) -> Result<Vec<MemberEntry>, StoreError>;
 
-    /// Reads all records of the system's own as of one moment.
+    /// Reads all records of the system's own, with a version from which changes go on.
     ///
     /// # Errors
     ///
     /// Returns why they could not be read.
-    async fn read_records(&self) -> Result<Vec<Record>, StoreError>;
+    async fn read_records(&self) -> Result<(Vec<Record>, u64), StoreError>;
+
+    /// Reads the records of the system's own that changed after a version, with the version from
+    /// which changes go on. `None` if that history is gone.
+    ///
+    /// # Errors
+    ///
+    /// Returns why they could not be read.
+    async fn read_changes(&self, after: u64) -> Result<Option<(Vec<Record>, u64)>, StoreError>;
 
     /// Writes a record if its present version is `expected`; 0 for a record that does not exist.
     ///
@@ -78,15 +88,9 @@
     /// Returns why it is not known to be written.
     async fn write_record(
         &self,
+        partition: &str,
         key: &str,
         value: &[u8],
         expected: u64,
     ) -> Result<WriteOutcome, StoreError>;
-
-    /// Removes a record if its present version is `expected`.
-    ///
-    /// # Errors
-    ///
-    /// Returns why it is not known to be removed.
-    async fn remove_record(&self, key: &str, expected: u64) -> Result<(), StoreError>;
 }
--- a/core/src/tenant_rates.rs
+++ b/core/src/tenant_rates.rs
@@ -20,7 +20,7 @@
 
 /// Buckets of the tenants that one owner counts.
 ///
-/// A new owner starts with empty buckets: its predecessor may have spent the burst.
+/// A new owner starts with nearly empty buckets: its predecessor may have spent the burst.
 #[derive(Debug, Default)]
 pub struct TenantRates {
     buckets: HashMap<Name, TokenBucket>,
@@ -38,7 +38,12 @@
         tenants.retain(|name, _| home_service(configuration, name).as_ref() == Some(service));
         self.buckets.retain(|name, _| tenants.contains_key(name));
         for (name, tenant) in tenants {
-            let bucket = self.buckets.entry(name).or_insert_with(|| TokenBucket::new(now_ms));
+            let bucket = self.buckets.entry(name).or_insert_with(|| {
+                let mut bucket = TokenBucket::new(now_ms);
+                bucket.set(now_ms, tenant.rate_per_s, tenant.burst);
+                bucket.put(FIRST_TOKENS.min(tenant.burst / 2.0));
+                bucket
+            });
             bucket.set(now_ms, tenant.rate_per_s, tenant.burst);
         }
     }
@@ -61,5 +66,9 @@
     }
 }
 
+/// Rights that a new owner starts with: several changes of owner stay within the tolerance of
+/// a rate, which is 20 operations.
+const FIRST_TOKENS: f64 = 6.0;
+
 /// Time until a tenant without any rate is counted again, in milliseconds.
 const NEVER_RETRY_MS: u64 = 1_000;
--- a/core/src/token_bucket.rs
+++ b/core/src/token_bucket.rs
@@ -23,6 +23,11 @@
         self.level = self.level.min(burst);
     }
 
+    /// Adds tokens, up to the burst.
+    pub fn put(&mut self, count: f64) {
+        self.level = (self.level + count).min(self.burst);
+    }
+
     fn refill(&mut self, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.updated_at_ms);
         self.updated_at_ms = self.updated_at_ms.max(now_ms);
