Ask heirs whether the store answers them before a service is given to one

Change: up to three candidates are asked to reach the store; the first that does becomes heir. Ruled out: comparing ages of proofs, as it was: the reader's proof is passed on with up to a second of age.

--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -13,7 +13,6 @@
 use crate::clock::now_ms;
 use crate::directory::Owner;
 use crate::knowledge;
-use crate::lease_book::LEASE_MS;
 use crate::lease_book::LeaseRecord;
 use crate::lease_book::LeaseWrite;
 use crate::member::MemberEntry;
@@ -44,6 +43,15 @@
 /// be lost, in milliseconds: the time to end what runs.
 const OFFER_REST_MS: u64 = 1_200;
 
+/// Nodes that are asked whether the store answers them, to find an heir: two may be lost.
+const HEIR_CANDIDATES: usize = 3;
+
+/// Age of a configuration proof up to which a node is likely to reach the store, in milliseconds.
+const HEIR_PROOF_MS: u64 = 1_500;
+
+/// Longest wait for the store's answer when a node is asked whether it reaches the store.
+const STORE_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time without an answer to a write after which the store is asked for a read: longer than a
 /// write usually takes, shorter than one at a slow store.
 const SLOW_WRITE: Duration = Duration::from_millis(500);
@@ -289,32 +297,39 @@
         let node = node.clone();
         node.tasks.clone().spawn(async move {
             // A store that is away for all leaves nobody to give the service to.
-            let silence_ms = node.owned(&service).map_or(0, |owned| owned.unrenewed_ms(now_ms));
-            if let Some(heir) = find_heir(&node, silence_ms).await {
+            if let Some(heir) = find_heir(&node).await {
                 hand_over(&node, &service, Some(heir), "the store is out of reach").await;
             }
         });
     }
 }
 
-/// Returns the node that should take a service: it has reached the store within `proof_limit_ms`,
-/// owns least, and has started last, so that a rolling restart does not reach it next.
-async fn find_heir(node: &Node, proof_limit_ms: u64) -> Option<Name> {
+/// Returns the node that should take a service: the store answers it, it owns least, and it has
+/// started last, so that a rolling restart does not reach it next.
+async fn find_heir(node: &Node) -> Option<Name> {
     let me = node.settings.identity.node.clone();
     let others: Vec<NodeRecord> =
         lock(&node.nodes).values().filter(|record| record.name != me).cloned().collect();
     let asking = others.into_iter().map(|record| async move {
         let report = node.peers.report(record.address).await.ok()?;
-        Some((record.name, report))
+        Some((record, report))
     });
-    let reports: Vec<(Name, PeerReport)> = join_all(asking).await.into_iter().flatten().collect();
+    let reports: Vec<(NodeRecord, PeerReport)> =
+        join_all(asking).await.into_iter().flatten().collect();
     let loads = lock(&node.book).load();
-    let fit = reports.into_iter().filter(|(_, report)| {
-        !report.is_stopping && report.proof_age_ms.is_some_and(|age| age < proof_limit_ms)
+    let mut fit: Vec<(NodeRecord, PeerReport)> =
+        reports.into_iter().filter(|(_, report)| !report.is_stopping).collect();
+    fit.sort_by_key(|(record, report)| {
+        let load = loads.get(&record.name).copied().unwrap_or(0);
+        (report.proof_age_ms.is_none_or(|age_ms| age_ms > HEIR_PROOF_MS), load, report.uptime_ms)
     });
-    let best =
-        fit.min_by_key(|(name, report)| (loads.get(name).copied().unwrap_or(0), report.uptime_ms));
-    best.map(|(name, _)| name)
+    fit.truncate(HEIR_CANDIDATES);
+    let asking = fit.into_iter().map(|(record, _)| async move {
+        let answer = node.peers.reaches_store(record.address).await;
+        (record.name, answer == Ok(true))
+    });
+    let answers = join_all(asking).await;
+    answers.into_iter().find_map(|(name, reaches)| reaches.then_some(name))
 }
 
 /// Stops to act as owner and gives the service to an heir.
@@ -325,7 +340,7 @@
     }
     let heir = match heir {
         Some(heir) => Some(heir),
-        None => find_heir(node, LEASE_MS / 2).await,
+        None => find_heir(node).await,
     };
     log::info!(
         event = "handover_started", service = &**service, reason = reason,
@@ -392,6 +407,13 @@
         self.directory.owner(&offer.service).filter(|owner| owner.address == me)
     }
 
+    /// Asks the store, and returns whether it answers.
+    pub async fn reaches_store(&self) -> bool {
+        let after = lock(&self.records_version).map_or(0, |(version, _)| version);
+        let asking = self.border.store.read_changes(after);
+        matches!(tokio::time::timeout(STORE_CHECK_TIMEOUT, asking).await, Ok(Ok(_)))
+    }
+
     /// Stops: gives services away, lets sessions end, and ends all tasks.
     pub async fn shut_down(self: &Arc<Self>) {
         self.set_stopping();
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -218,6 +218,8 @@
     async fn run(call: Call) -> CallReply;
     /// Tells how the node is.
     async fn report() -> PeerReport;
+    /// Asks the store, and returns whether it answers.
+    async fn reaches_store() -> bool;
     /// Takes over a lease whose holder has stopped acting. Returns the new owner if it did.
     async fn offer(offer: LeaseOffer) -> Option<Owner>;
     /// Tells what the node knows; `None` if it does not read the store itself.
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -285,6 +285,19 @@
         Ok(answered)
     }
 
+    /// Asks another node whether the store answers it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn reaches_store(&self, address: SocketAddr) -> Result<bool, RelayError> {
+        let client = self.client(address).await?;
+        let asking = client.reaches_store(control_context());
+        let answered = asking.await.map_err(|error| self.failed(address, &error))?;
+        self.heard(address);
+        Ok(answered)
+    }
+
     /// Offers a lease to another node.
     ///
     /// # Errors
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -57,6 +57,10 @@
         self.node.report()
     }
 
+    async fn reaches_store(self, _: Context) -> bool {
+        self.node.reaches_store().await
+    }
+
     async fn offer(self, _: Context, offer: LeaseOffer) -> Option<Owner> {
         self.node.accept_offer(offer).await
     }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -26,8 +26,6 @@
 use crate::clock::now_ms;
 use crate::commit_history::CommitHistory;
 use crate::configuration_watch::ConfigurationWatch;
-use crate::lease_book::LEASE_MS;
-use crate::lease_book::RENEW_INTERVAL_MS;
 use crate::member::MemberConnector;
 use crate::member::MemberKey;
 use crate::member::PromotionOrders;
@@ -213,11 +211,6 @@
         self.store_failures.load(Ordering::Acquire) >= STORE_LOST_FAILURES
     }
 
-    /// Returns for how long renewals of the lease have been missing, in milliseconds.
-    pub fn unrenewed_ms(&self, now_ms: u64) -> u64 {
-        (LEASE_MS - RENEW_INTERVAL_MS).saturating_sub(self.rest_ms(now_ms))
-    }
-
     /// Returns whether new operations are taken.
     pub fn is_open(&self) -> bool {
         self.is_valid() && !self.is_closing.load(Ordering::Acquire)
