Find silent peers sooner, do not hold statements that nobody can run

Change: quiet limit 150 ms, check 200 ms; refusal at once without the store; lease 3.5 s renewed each 0.8 s. Ruled out: a lease of 3 s, which lapses within an outage that still counts as served.

--- a/core/src/lease_book.rs
+++ b/core/src/lease_book.rs
@@ -16,14 +16,14 @@
 use crate::relay::SeenLease;
 
 /// Validity of a lease after its renewal was sent, in milliseconds: outlasts an outage of the store
-/// of three seconds, and bounds how long a service waits when its owner goes dark.
-pub const LEASE_MS: u64 = 4_000;
+/// of nearly three seconds, and bounds how long a service waits when its owner goes dark.
+pub const LEASE_MS: u64 = 3_500;
 
 /// Time that a taker waits beyond the validity, in milliseconds: covers the drift of two clocks.
 pub const TAKEOVER_MARGIN_MS: u64 = 200;
 
 /// Time between two renewals, in milliseconds: several may fail before the lease lapses.
-pub const RENEW_INTERVAL_MS: u64 = 1_000;
+pub const RENEW_INTERVAL_MS: u64 = 800;
 
 /// Time between two writes of a lease without an answer, in milliseconds: longer than a write at
 /// a slow store, so that writes do not pile up there.
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -47,6 +47,10 @@
 /// callers wait for an answer.
 const TAKEOVER_HOLD_MS: u64 = 800;
 
+/// Age of the configuration proof at which the store counts as out of reach, in milliseconds:
+/// several reads have failed.
+const STORE_AWAY_MS: u64 = 2_500;
+
 /// Margin below the bound on withdrawn keys, in milliseconds: covers the way of a request.
 const FRESHNESS_MARGIN_MS: u64 = 400;
 
@@ -272,6 +276,11 @@
                     format!("the owner of the service is silent; retry after {wait_ms} ms");
                 return (CallReply::Refused(Refusal::new(Failure::Busy, &detail)), None);
             }
+            // Without the store nobody can become owner.
+            if self.configuration_age_ms().is_some_and(|age_ms| age_ms > STORE_AWAY_MS) {
+                let detail = "no owner acts, and the store is out of reach; retry after 1000 ms";
+                return (CallReply::Refused(Refusal::new(Failure::Busy, detail)), None);
+            }
             if crate::clock::now_ms() + OWNER_RETRY.as_millis() as u64 >= hold_until_ms {
                 let refusal = Refusal::new(Failure::Busy, "the owner of the service is not known");
                 return (CallReply::Refused(refusal), None);
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -36,12 +36,12 @@
 /// Time after which unacknowledged bytes end a connection: a far end without power says nothing.
 const DARK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Time without any answer after which a node that owes one is checked: longer than nearly all
-/// statements.
-const QUIET_LIMIT: Duration = Duration::from_millis(250);
+/// Time without any answer after which a node that owes one is checked: a busy owner answers
+/// something every few milliseconds.
+const QUIET_LIMIT: Duration = Duration::from_millis(150);
 
 /// Longest wait for the answer to a check.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time beyond a statement's own deadline that the owner's answer may take on its way.
 const TRANSIT_MS: u64 = 150;
