--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -18,13 +18,12 @@
 use crate::outcome::Answer;
 use crate::outcome::Refusal;
 use crate::ownership::NodeRecord;
-use crate::statement::Access;
-use crate::statement::Work;
-
 pub use crate::relay::client::PeerPool;
 pub use crate::relay::client::RelayError;
 pub use crate::relay::client::watch_far_end;
 pub use crate::relay::server::serve_peers;
+use crate::statement::Access;
+use crate::statement::Work;
 
 /// What a read must include.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -39,11 +39,10 @@
 use crate::service::pool::Grant;
 use crate::service::pool::Pool;
 use crate::service::pool::SlotRequest;
+pub(crate) use crate::service::probe::OWN_NAME;
 use crate::sync::lock;
 use crate::tenant_rates::TenantRates;
 
-pub(crate) use crate::service::probe::OWN_NAME;
-
 /// Failures in a row after which the store counts as lost: one may be a lost answer.
 const STORE_LOST_FAILURES: u64 = 2;
 
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -325,8 +325,8 @@
         if self.cold_per_s <= 0.0 || now_ms >= member.cold_until_ms {
             return true;
         }
-        let from_ms = now_ms.saturating_sub(COLD_WINDOW_MS);
-        let recent = member.cold_grants.iter().filter(|at_ms| **at_ms > from_ms).count();
+        let is_recent = |at_ms: &&u64| **at_ms + COLD_WINDOW_MS > now_ms;
+        let recent = member.cold_grants.iter().filter(is_recent).count();
         (recent as f64) < self.cold_per_s
     }
 
--- /dev/null
+++ b/core/tests/core/leases.rs
@@ -0,0 +1,191 @@
+//! Leases under random schedules: lost, late and refused writes, pauses of processes.
+
+use proptest::prelude::*;
+
+use snipehead_core::lease_book::Identity;
+use snipehead_core::lease_book::LEASE_MS;
+use snipehead_core::lease_book::LeaseBook;
+use snipehead_core::lease_book::LeaseRecord;
+use snipehead_core::lease_book::LeaseWrite;
+use snipehead_core::name::Name;
+
+/// Time between two steps, in milliseconds.
+const STEP_MS: u64 = 50;
+
+fn identity(number: u64) -> Identity {
+    Identity {
+        node: format!("host-{number}").into(),
+        address: format!("127.0.0.1:{}", 7_000 + number).parse().expect("an address"),
+        incarnation: number + 1,
+    }
+}
+
+/// What happens to a write on its way.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    AnswerLost,
+    Late(u64),
+    Dropped,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        5 => Just(Fate::Answered),
+        2 => Just(Fate::AnswerLost),
+        2 => (1_u64..6_000).prop_map(Fate::Late),
+        2 => Just(Fate::Dropped),
+    ]
+}
+
+/// A store with one lease, and writes that are still on their way.
+struct Store {
+    record: Option<LeaseRecord>,
+    version: u64,
+    late: Vec<(u64, LeaseWrite)>,
+}
+
+impl Store {
+    fn write(&mut self, write: &LeaseWrite) -> bool {
+        let is_met = write.expected == if self.record.is_some() { self.version } else { 0 };
+        if is_met {
+            self.version += 1;
+            self.record = Some(write.record.clone());
+        }
+        is_met
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    /// No two processes may act at one time, tokens grow from holder to holder, and a holder's
+    /// writes carry its own name, whatever becomes of writes and however long processes pause.
+    #[test]
+    fn one_holder_at_a_time(
+        steps in prop::collection::vec((0_usize..3, fate(), prop::bool::weighted(0.05)), 200..600),
+        reads in prop::collection::vec(prop::bool::weighted(0.3), 600),
+    ) {
+        let service: Name = "dispatch".into();
+        let mut books: Vec<LeaseBook> = (0..3).map(|n| LeaseBook::new(identity(n))).collect();
+        let mut paused_until_ms = [0_u64; 3];
+        let mut store = Store { record: None, version: 10, late: Vec::new() };
+        let mut last_holder: Option<(usize, u64)> = None;
+        for (index, (chosen, fate, pauses)) in steps.into_iter().enumerate() {
+            let now_ms = 1_000 + index as u64 * STEP_MS;
+            let due: Vec<LeaseWrite> = {
+                let (due, rest) = store.late.drain(..).partition(|(at_ms, _)| *at_ms <= now_ms);
+                store.late = rest;
+                let due: Vec<(u64, LeaseWrite)> = due;
+                due.into_iter().map(|(_, write)| write).collect()
+            };
+            for write in due {
+                store.write(&write);
+            }
+            if pauses {
+                paused_until_ms[chosen] = now_ms + 4_000;
+            }
+            for (number, book) in books.iter_mut().enumerate() {
+                if now_ms < paused_until_ms[number] {
+                    continue;
+                }
+                if reads[index] || index < 3 {
+                    let version = if store.record.is_some() { store.version } else { 0 };
+                    book.observe(now_ms, &service, store.record.clone(), version);
+                    book.heard(now_ms, &service);
+                }
+                let writes = book.due(now_ms, std::slice::from_ref(&service), |_| Some(number as u64));
+                for write in writes {
+                    match fate {
+                        Fate::Answered => {
+                            if store.write(&write) {
+                                let record = Some(write.record.clone());
+                                book.observe(now_ms, &service, record, store.version);
+                            } else {
+                                book.observe(now_ms, &service, store.record.clone(), store.version);
+                            }
+                        }
+                        Fate::AnswerLost => { store.write(&write); }
+                        Fate::Late(delay_ms) => store.late.push((now_ms + delay_ms, write)),
+                        Fate::Dropped => {}
+                    }
+                }
+            }
+            let acting: Vec<(usize, u64)> = books
+                .iter()
+                .enumerate()
+                .filter_map(|(number, book)| {
+                    let (valid_until_ms, token) = book.held(&service)?;
+                    (now_ms < valid_until_ms).then_some((number, token))
+                })
+                .collect();
+            prop_assert!(acting.len() <= 1, "at {now_ms}: {acting:?}");
+            if let Some((number, token)) = acting.first() {
+                if let Some((last, last_token)) = last_holder
+                    && last != *number
+                {
+                    prop_assert!(*token > last_token);
+                }
+                last_holder = Some((*number, *token));
+            }
+        }
+    }
+}
+
+fn record(holder: u64, renewal: u64) -> LeaseRecord {
+    let identity = identity(holder);
+    LeaseRecord {
+        holder: identity.node,
+        address: identity.address,
+        incarnation: identity.incarnation,
+        renewal,
+        is_released: false,
+        heir: None,
+        pending_promotion: None,
+    }
+}
+
+#[test]
+fn a_restarted_process_takes_its_lease_back_at_once() {
+    let service: Name = "dispatch".into();
+    let mut restarted = identity(0);
+    restarted.incarnation = 77;
+    let mut book = LeaseBook::new(restarted);
+    book.observe(1_000, &service, Some(record(0, 5)), 12);
+    assert_eq!(book.due(1_000, std::slice::from_ref(&service), |_| Some(2)).len(), 1);
+}
+
+#[test]
+fn a_process_elsewhere_waits_until_the_lease_has_lapsed() {
+    let service: Name = "dispatch".into();
+    let mut book = LeaseBook::new(identity(1));
+    book.observe(1_000, &service, Some(record(0, 5)), 12);
+    book.heard(1_000 + LEASE_MS, &service);
+    assert!(book.due(1_000 + LEASE_MS, std::slice::from_ref(&service), |_| Some(0)).is_empty());
+    book.heard(1_300 + LEASE_MS, &service);
+    assert_eq!(book.due(1_300 + LEASE_MS, std::slice::from_ref(&service), |_| Some(0)).len(), 1);
+}
+
+/// On the site of 68 machines nodes that no longer read leases tried to take them each few seconds.
+#[test]
+fn a_process_that_has_not_seen_the_lease_lately_takes_nothing() {
+    let service: Name = "dispatch".into();
+    let mut book = LeaseBook::new(identity(1));
+    book.observe(1_000, &service, Some(record(0, 5)), 12);
+    assert!(book.due(30_000, std::slice::from_ref(&service), |_| Some(0)).is_empty());
+}
+
+#[test]
+fn a_taker_inherits_a_promotion_that_was_not_seen_through() {
+    let service: Name = "dispatch".into();
+    let mut book = LeaseBook::new(identity(1));
+    let mut left = record(0, 5);
+    left.is_released = true;
+    left.pending_promotion = Some("m2".into());
+    book.observe(1_000, &service, Some(left), 12);
+    let write =
+        book.due(1_000, std::slice::from_ref(&service), |_| Some(0)).pop().expect("a write");
+    assert_eq!(write.record.pending_promotion.as_deref(), Some("m2"));
+    book.observe(1_010, &service, Some(write.record), 13);
+    assert_eq!(book.pending_promotion(&service).as_deref(), Some("m2"));
+}
--- /dev/null
+++ b/core/tests/core/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the core, without any protocol of callers, members or the platform.
+
+mod commit_histories;
+mod configurations;
+mod failovers;
+mod leases;
+mod nodes;
+mod pools;
+mod rates;
+mod stand_in;
--- /dev/null
+++ b/core/tests/core/stand_in.rs
@@ -0,0 +1,409 @@
+//! Stand-ins for the store and for members, with faults to order.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use snipehead_core::configuration::Configuration;
+use snipehead_core::log_position::LogPosition;
+use snipehead_core::member::MemberCommand;
+use snipehead_core::member::MemberConnection;
+use snipehead_core::member::MemberConnector;
+use snipehead_core::member::MemberEntry;
+use snipehead_core::member::MemberError;
+use snipehead_core::member::MemberKey;
+use snipehead_core::member::MemberReply;
+use snipehead_core::member::MemberStatus;
+use snipehead_core::member::PromotionOrders;
+use snipehead_core::name::Name;
+use snipehead_core::outcome::BlockState;
+use snipehead_core::outcome::Failure;
+use snipehead_core::outcome::Refusal;
+use snipehead_core::statement::WorkForm;
+use snipehead_core::store::MetadataStore;
+use snipehead_core::store::Record;
+use snipehead_core::store::StoreError;
+use snipehead_core::store::WriteOutcome;
+
+#[derive(Default)]
+struct StoreState {
+    configuration: Configuration,
+    members: Vec<MemberEntry>,
+    records: HashMap<String, Record>,
+    version: u64,
+}
+
+/// A store in memory.
+#[derive(Default)]
+pub struct StandInStore {
+    state: Mutex<StoreState>,
+    /// Whether it answers nobody.
+    pub is_down: AtomicBool,
+}
+
+impl StandInStore {
+    pub fn change<Change>(&self, change: Change)
+    where
+        Change: FnOnce(&mut Configuration),
+    {
+        let mut state = self.state.lock().expect("no holder panics");
+        change(&mut state.configuration);
+        state.configuration.version += 1;
+    }
+
+    pub fn set_members(&self, members: Vec<MemberEntry>) {
+        self.state.lock().expect("no holder panics").members = members;
+    }
+
+    fn state(&self) -> Result<std::sync::MutexGuard<'_, StoreState>, StoreError> {
+        match self.is_down.load(Ordering::Acquire) {
+            true => Err(StoreError::NotDone("the store is down".to_owned())),
+            false => Ok(self.state.lock().expect("no holder panics")),
+        }
+    }
+}
+
+#[async_trait]
+impl MetadataStore for StandInStore {
+    async fn read_configuration(&self) -> Result<Option<Configuration>, StoreError> {
+        Ok(Some(self.state()?.configuration.clone()))
+    }
+
+    async fn read_members(&self) -> Result<Vec<MemberEntry>, StoreError> {
+        Ok(self.state()?.members.clone())
+    }
+
+    async fn read_records(&self) -> Result<(Vec<Record>, u64), StoreError> {
+        let state = self.state()?;
+        Ok((state.records.values().cloned().collect(), state.version))
+    }
+
+    async fn read_changes(&self, after: u64) -> Result<Option<(Vec<Record>, u64)>, StoreError> {
+        let state = self.state()?;
+        let changed = state.records.values().filter(|record| record.version > after);
+        Ok(Some((changed.cloned().collect(), state.version)))
+    }
+
+    async fn write_record(
+        &self,
+        partition: &str,
+        key: &str,
+        value: &[u8],
+        expected: u64,
+    ) -> Result<WriteOutcome, StoreError> {
+        let mut state = self.state()?;
+        let present = state.records.get(key).cloned();
+        if present.as_ref().map_or(0, |record| record.version) != expected {
+            return Ok(WriteOutcome::Conflict(present));
+        }
+        state.version += 1;
+        let version = state.version;
+        let record =
+            Record { partition: partition.into(), key: key.into(), value: value.to_vec(), version };
+        state.records.insert(key.to_owned(), record);
+        Ok(WriteOutcome::Written(version))
+    }
+}
+
+/// What a member does with the next data statement or commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Runs it and loses the answer.
+    AnswerLost,
+    /// Refuses it.
+    Refused(Failure),
+}
+
+#[derive(Clone, Debug)]
+struct MemberState {
+    is_primary: bool,
+    is_up: bool,
+    term: u64,
+    position: LogPosition,
+    /// What the log includes at most; `None` for all.
+    stuck_at: Option<LogPosition>,
+    ran: Vec<String>,
+    fates: Vec<Fate>,
+}
+
+/// A group of three members in memory. Replicas receive commits at once unless they are stuck.
+pub struct StandInGroup {
+    members: Mutex<HashMap<SocketAddr, (MemberEntry, MemberState)>>,
+    promotions: Mutex<Vec<(String, u64)>>,
+    connections: AtomicU64,
+}
+
+impl StandInGroup {
+    pub fn new(service: &str) -> Arc<Self> {
+        let member = |number: u64| {
+            let address: SocketAddr = format!("10.0.0.{number}:1").parse().expect("an address");
+            let entry = MemberEntry {
+                key: MemberKey { id: format!("m{number}").into(), incarnation: number },
+                service: service.into(),
+                address,
+                zone: "almaty-a".into(),
+                slots: 3,
+                is_draining: false,
+                cold_ms: 0,
+                claims_primary: number == 1,
+            };
+            let state = MemberState {
+                is_primary: number == 1,
+                is_up: true,
+                term: 1,
+                position: LogPosition::new(1, 0),
+                stuck_at: None,
+                ran: Vec::new(),
+                fates: Vec::new(),
+            };
+            (address, (entry, state))
+        };
+        Arc::new(Self {
+            members: Mutex::new((1..=3).map(member).collect()),
+            promotions: Mutex::default(),
+            connections: AtomicU64::new(0),
+        })
+    }
+
+    pub fn entries(&self) -> Vec<MemberEntry> {
+        let members = self.members.lock().expect("no holder panics");
+        let mut entries: Vec<MemberEntry> =
+            members.values().map(|(entry, _)| entry.clone()).collect();
+        entries.sort_by(|left, right| left.key.cmp(&right.key));
+        entries
+    }
+
+    fn with<Result, Use>(&self, id: &str, using: Use) -> Result
+    where
+        Use: FnOnce(&mut MemberState) -> Result,
+    {
+        let mut members = self.members.lock().expect("no holder panics");
+        let found = members.values_mut().find(|(entry, _)| &*entry.key.id == id);
+        using(&mut found.expect("a member of this name").1)
+    }
+
+    pub fn set_up(&self, id: &str, is_up: bool) {
+        self.with(id, |member| member.is_up = is_up);
+    }
+
+    pub fn hold_back(&self, id: &str) {
+        self.with(id, |member| member.stuck_at = Some(member.position));
+    }
+
+    pub fn give_fate(&self, id: &str, fate: Fate) {
+        self.with(id, |member| member.fates.push(fate));
+    }
+
+    /// Returns the ids and texts that a member ran.
+    pub fn ran(&self, id: &str) -> Vec<String> {
+        self.with(id, |member| member.ran.clone())
+    }
+
+    pub fn promotions(&self) -> Vec<(String, u64)> {
+        self.promotions.lock().expect("no holder panics").clone()
+    }
+
+    pub fn primary(&self) -> Option<String> {
+        let members = self.members.lock().expect("no holder panics");
+        let leading = members.values().filter(|(_, state)| state.is_primary && state.is_up);
+        leading.max_by_key(|(_, state)| state.term).map(|(entry, _)| entry.key.id.to_string())
+    }
+}
+
+/// Opens connections to the members of a group.
+pub struct StandInConnector(pub Arc<StandInGroup>);
+
+#[async_trait]
+impl MemberConnector for StandInConnector {
+    async fn connect(
+        &self,
+        member: &MemberEntry,
+        _: &str,
+    ) -> Result<Box<dyn MemberConnection>, MemberError> {
+        let members = self.0.members.lock().expect("no holder panics");
+        let (_, state) = &members[&member.address];
+        if !state.is_up {
+            return Err(MemberError::Closed("refused".to_owned()));
+        }
+        self.0.connections.fetch_add(1, Ordering::Relaxed);
+        let link = StandInLink {
+            group: self.0.clone(),
+            address: member.address,
+            block: BlockState::Idle,
+            writes: 0,
+        };
+        Ok(Box::new(link))
+    }
+}
+
+struct StandInLink {
+    group: Arc<StandInGroup>,
+    address: SocketAddr,
+    block: BlockState,
+    writes: u64,
+}
+
+impl StandInLink {
+    fn reply(&self, result: Result<Name, Refusal>, position: LogPosition) -> MemberReply {
+        let rows = if result.is_ok() { vec!["row".into()] } else { Vec::new() };
+        MemberReply { rows, result, block: self.block, position: Some(position) }
+    }
+
+    fn commit(&self) -> LogPosition {
+        let mut members = self.group.members.lock().expect("no holder panics");
+        let term = members[&self.address].1.term;
+        let position = LogPosition::new(term, members[&self.address].1.position.position + 1);
+        for (address, (_, state)) in members.iter_mut() {
+            if *address == self.address || state.stuck_at.is_none() {
+                state.position = position;
+            }
+        }
+        position
+    }
+
+    fn handle(&mut self, command: &MemberCommand) -> Result<MemberReply, MemberError> {
+        let (state, fate) = {
+            let mut members = self.group.members.lock().expect("no holder panics");
+            let (_, state) = members.get_mut(&self.address).expect("the member is known");
+            if !state.is_up {
+                return Err(MemberError::Closed("the member ended".to_owned()));
+            }
+            let takes_fate =
+                matches!(command, MemberCommand::Run { .. } | MemberCommand::Commit { .. });
+            let fate = if takes_fate && !state.fates.is_empty() {
+                Some(state.fates.remove(0))
+            } else {
+                None
+            };
+            (state.clone(), fate)
+        };
+        if let Some(Fate::Refused(failure)) = fate {
+            let refusal = Refusal::new(failure, "as ordered");
+            return Ok(self.reply(Err(refusal), state.position));
+        }
+        let reply = self.handle_well(command, &state)?;
+        match fate {
+            Some(Fate::AnswerLost) => Err(MemberError::Closed("answer lost".to_owned())),
+            _ => Ok(reply),
+        }
+    }
+
+    fn note(&self, text: String) {
+        let mut members = self.group.members.lock().expect("no holder panics");
+        members.get_mut(&self.address).expect("the member is known").1.ran.push(text);
+    }
+
+    fn handle_well(
+        &mut self,
+        command: &MemberCommand,
+        state: &MemberState,
+    ) -> Result<MemberReply, MemberError> {
+        let done: Result<Name, Refusal> = Ok("signature".into());
+        let read_only = || Err(Refusal::new(Failure::ReadOnly, "replica"));
+        let lagging =
+            |floor: &Option<LogPosition>| floor.is_some_and(|floor| state.position < floor);
+        let behind = || Err(Refusal::new(Failure::Lagging, "behind"));
+        match command {
+            MemberCommand::Begin { is_read_only, floor, .. } => {
+                if lagging(floor) {
+                    return Ok(self.reply(behind(), state.position));
+                }
+                if !is_read_only && !state.is_primary {
+                    return Ok(self.reply(read_only(), state.position));
+                }
+                self.block = BlockState::Open;
+                Ok(self.reply(done, state.position))
+            }
+            MemberCommand::Run { id, form, floor } => {
+                let WorkForm::Text(text) = form else {
+                    return Err(MemberError::Protocol("only texts here".to_owned()));
+                };
+                if lagging(floor) {
+                    return Ok(self.reply(behind(), state.position));
+                }
+                let is_write = text.starts_with("STORE");
+                if is_write && !state.is_primary {
+                    return Ok(self.reply(read_only(), state.position));
+                }
+                self.note(format!("{id} {text}"));
+                self.writes += u64::from(is_write);
+                let commits = is_write && self.block == BlockState::Idle;
+                let position = if commits { self.commit() } else { state.position };
+                Ok(self.reply(done, position))
+            }
+            MemberCommand::Commit { id } => {
+                self.note(format!("{id} COMMIT"));
+                self.block = BlockState::Idle;
+                let has_written = std::mem::take(&mut self.writes) > 0;
+                let position = if has_written { self.commit() } else { state.position };
+                Ok(self.reply(done, position))
+            }
+            MemberCommand::Rollback | MemberCommand::Reset => {
+                self.block = BlockState::Idle;
+                self.writes = 0;
+                Ok(self.reply(done, state.position))
+            }
+            MemberCommand::StepDown { .. } => {
+                let mut members = self.group.members.lock().expect("no holder panics");
+                members.get_mut(&self.address).expect("the member is known").1.is_primary = false;
+                drop(members);
+                Ok(self.reply(done, state.position))
+            }
+            MemberCommand::Status | MemberCommand::Set { .. } | MemberCommand::Prepare(_) => {
+                Ok(self.reply(done, state.position))
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl MemberConnection for StandInLink {
+    async fn exchange(
+        &mut self,
+        commands: &[MemberCommand],
+    ) -> Result<Vec<MemberReply>, MemberError> {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        commands.iter().map(|command| self.handle(command)).collect()
+    }
+
+    fn is_closed(&mut self) -> bool {
+        false
+    }
+
+    fn decode_status(&self, reply: &MemberReply) -> Option<MemberStatus> {
+        let members = self.group.members.lock().expect("no holder panics");
+        let state = &members[&self.address].1;
+        Some(MemberStatus {
+            is_primary: state.is_primary,
+            term: state.term,
+            position: reply.position?,
+        })
+    }
+}
+
+/// Promotes members of a group.
+pub struct StandInOrders(pub Arc<StandInGroup>);
+
+#[async_trait]
+impl PromotionOrders for StandInOrders {
+    async fn promote(&self, _: &str, member: &str, fencing_token: u64) -> Result<(), String> {
+        let promotions = &self.0.promotions;
+        promotions.lock().expect("no holder panics").push((member.to_owned(), fencing_token));
+        let mut members = self.0.members.lock().expect("no holder panics");
+        let term = members.values().map(|(_, state)| state.term).max().unwrap_or(0) + 1;
+        for (entry, state) in members.values_mut() {
+            if &*entry.key.id == member {
+                state.is_primary = true;
+                state.term = term;
+            }
+        }
+        Ok(())
+    }
+}
