--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod failover;
 pub mod knowledge;
 pub mod lease_book;
+pub mod log_line;
 pub mod log_position;
 pub mod member;
 pub mod member_directory;
