--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,5 +1,7 @@
 //! Logs: one line of key=value pairs an event.
 
+use std::io::Write;
+
 use flexi_logger::DeferredNow;
 use flexi_logger::FlexiLoggerError;
 use flexi_logger::Logger;
