Let an heir acquire the lease while the owner goes on; a store that answers reads is not lost

Change: offer, acquire, stop, begin; 256 lease partitions; a failed write is checked by a read; the wait for the balancer runs beside the handing over. Ruled out: longer offers, which would only lengthen the gap.

--- a/core/src/lease_book.rs
+++ b/core/src/lease_book.rs
@@ -27,7 +27,10 @@
 
 /// Time between two writes of a lease without an answer, in milliseconds: longer than a write at
 /// a slow store, so that writes do not pile up there.
-const RENEW_RETRY_MS: u64 = 400;
+const RENEW_RETRY_MS: u64 = 900;
+
+/// Time until another write of a lease after one that was not done, in milliseconds.
+const REFUSED_RETRY_MS: u64 = 250;
 
 /// Head start of each better placed candidate, in milliseconds: longer than a conditional write.
 const RANK_DELAY_MS: u64 = 150;
@@ -99,6 +102,8 @@
     next_try_ms: u64,
     is_giving_up: bool,
     is_offered: bool,
+    /// Until when the one who offered it may still act.
+    acts_after_ms: u64,
     pending_promotion: Option<Name>,
 }
 
@@ -135,12 +140,13 @@
             .is_some_and(|record| record.incarnation == self.me.incarnation && !record.is_released);
         lease.version = version;
         lease.seen_at_ms = now_ms;
-        lease.is_offered = false;
+        let was_offered = std::mem::take(&mut lease.is_offered);
         lease.next_try_ms = 0;
         match (is_mine, &record) {
             (true, Some(record)) => {
                 if lease.acquired_version.is_none() {
                     lease.acquired_version = Some(version);
+                    lease.acts_after_ms = if was_offered { now_ms + LEASE_MS } else { 0 };
                     lease.pending_promotion.clone_from(&record.pending_promotion);
                 }
                 let sent = lease.sent.iter().find(|(renewal, _)| *renewal == record.renewal);
@@ -164,7 +170,8 @@
         }
     }
 
-    /// Allows this process to take a lease that its holder offered to it at `version`.
+    /// Allows this process to take a lease that its holder offered to it at `version`. It may act
+    /// once the holder says that it has stopped, or can act no more.
     pub fn accept_offer(&mut self, now_ms: u64, service: &Name, record: LeaseRecord, version: u64) {
         self.observe(now_ms, service, Some(record), version);
         if let Some(lease) = self.leases.get_mut(service)
@@ -270,11 +277,17 @@
         self.leases.get(service)?.pending_promotion.clone()
     }
 
-    /// Stops renewing a lease. It is not valid any more.
-    pub fn give_up(&mut self, service: &Name) {
+    /// Takes note that the one who offered a lease has stopped acting.
+    pub fn begin(&mut self, service: &Name) {
+        if let Some(lease) = self.leases.get_mut(service) {
+            lease.acts_after_ms = 0;
+        }
+    }
+
+    /// Stops renewing a lease, or goes on with it.
+    pub fn pause(&mut self, service: &Name, is_paused: bool) {
         if let Some(lease) = self.leases.get_mut(service) {
-            lease.is_giving_up = true;
-            lease.valid_until_ms = 0;
+            lease.is_giving_up = is_paused;
         }
     }
 
@@ -289,10 +302,18 @@
     }
 
     /// Returns until when this process may act as owner, and its fencing token.
-    pub fn held(&self, service: &Name) -> Option<(u64, u64)> {
+    pub fn held(&self, now_ms: u64, service: &Name) -> Option<(u64, u64)> {
         let lease = self.leases.get(service)?;
         let token = lease.acquired_version?;
-        (!lease.is_giving_up).then_some((lease.valid_until_ms, token))
+        let may_act = !lease.is_giving_up && now_ms >= lease.acts_after_ms;
+        may_act.then_some((lease.valid_until_ms, token))
+    }
+
+    /// Allows another write of a lease soon, after one that was not done.
+    pub fn retry(&mut self, now_ms: u64, service: &Name) {
+        if let Some(lease) = self.leases.get_mut(service) {
+            lease.next_try_ms = lease.next_try_ms.min(now_ms + REFUSED_RETRY_MS);
+        }
     }
 
     /// Returns the known record of a lease with its version.
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -26,6 +26,7 @@
 use crate::service::OwnedService;
 use crate::service::OwnerNode;
 use crate::service::ServiceBorder;
+use crate::store::StoreError;
 use crate::store::WriteOutcome;
 use crate::sync::lock;
 
@@ -61,7 +62,7 @@
 
 /// Partitions over which leases are spread: each serves its writes one after the other, and few
 /// a second while the store is slow.
-const LEASE_PARTITIONS: u64 = 16;
+const LEASE_PARTITIONS: u64 = 256;
 
 /// Returns the partition of a service's lease.
 fn lease_partition(service: &str) -> String {
@@ -157,31 +158,20 @@
 async fn write_lease(node: &Arc<Node>, write: LeaseWrite) -> bool {
     let key = format!("{LEASE_PREFIX}{}", write.service);
     let Ok(value) = serde_json::to_vec(&write.record) else { return false };
-    let owned = node.owned(&write.service);
     let partition = lease_partition(&write.service);
     let writing = node.border.store.write_record(&partition, &key, &value, write.expected);
     tokio::pin!(writing);
     let outcome = tokio::select! {
         outcome = &mut writing => outcome,
         () = tokio::time::sleep(SLOW_WRITE) => {
-            // A store that answers a read is slow, and not lost.
-            if let Some(owned) = &owned
-                && !matches!(
-                    tokio::time::timeout(SLOW_WRITE, node.border.store.read_records()).await,
-                    Ok(Ok(_))
-                )
-            {
-                owned.note_store_lost();
-            }
+            note_store(node, &write.service, false).await;
             writing.await
         }
     };
+    note_store(node, &write.service, outcome.is_ok()).await;
     let now_ms = now_ms();
-    if let Some(owned) = &owned {
-        match &outcome {
-            Ok(_) => owned.note_store_answer(),
-            Err(_) => owned.note_store_failure(),
-        }
+    if matches!(outcome, Err(StoreError::NotDone(_))) {
+        lock(&node.book).retry(now_ms, &write.service);
     }
     let written = match outcome {
         Ok(WriteOutcome::Written(version)) => {
@@ -211,14 +201,24 @@
     written
 }
 
+/// Takes note whether the store serves this node. One that answers a read is slow, and not lost.
+async fn note_store(node: &Node, service: &Name, has_written: bool) {
+    let Some(owned) = node.owned(service) else { return };
+    match has_written || node.reaches_store().await {
+        true => owned.note_store_answer(),
+        false => owned.note_store_lost(),
+    }
+}
+
 /// Starts, prolongs and ends owned services as the lease book says.
 fn apply_held(node: &Arc<Node>) {
+    let now_ms = now_ms();
     let book = lock(&node.book);
     let held: Vec<(Name, u64, u64, Option<Name>)> = book
         .held_services()
         .into_iter()
         .filter_map(|service| {
-            let (valid_until_ms, token) = book.held(&service)?;
+            let (valid_until_ms, token) = book.held(now_ms, &service)?;
             let pending = book.pending_promotion(&service);
             Some((service, valid_until_ms, token, pending))
         })
@@ -332,7 +332,8 @@
     answers.into_iter().find_map(|(name, reaches)| reaches.then_some(name))
 }
 
-/// Stops to act as owner and gives the service to an heir.
+/// Gives the service to an heir. The heir acquires the lease first and begins to act when this
+/// node has stopped, so that a slow store does not keep callers waiting.
 pub async fn hand_over(node: &Arc<Node>, service: &Name, heir: Option<Name>, reason: &str) {
     let Some(owned) = node.owned(service) else { return };
     if !owned.start_handing_over() {
@@ -346,20 +347,34 @@
         event = "handover_started", service = &**service, reason = reason,
         heir = heir.as_deref().unwrap_or("-"), transactions = owned.transactions(); ""
     );
-    owned.close(HANDOVER_LIMIT).await;
-    lock(&node.book).give_up(service);
-    let stopping = owned.clone();
-    node.tasks.spawn(async move { stopping.stop().await });
+    lock(&node.book).pause(service, true);
     let taken = match &heir {
         Some(heir) => offer_to(node, service, heir).await,
         None => None,
     };
-    if let Some(owner) = &taken {
-        node.directory.learn(service, owner.clone());
-    } else {
-        let write = lock(&node.book).release(now_ms(), service, heir.clone());
-        if let Some(write) = write {
-            write_lease(node, write).await;
+    if taken.is_none() && !node.is_stopping() {
+        log::info!(event = "handover_failed", service = &**service; "the lease is renewed again");
+        lock(&node.book).pause(service, false);
+        owned.stop_handing_over();
+        return;
+    }
+    let rest = Duration::from_millis(owned.rest_ms(now_ms()));
+    owned.close(HANDOVER_LIMIT.min(rest)).await;
+    match &taken {
+        Some(owner) => {
+            node.directory.learn(service, owner.clone());
+            if let Err(error) = node.peers.begin(owner.address, service.clone()).await {
+                log::info!(
+                    event = "heir_untold", service = &**service, heir = &*owner.node,
+                    error = error.to_string(); "it begins when the lease here would have lapsed"
+                );
+            }
+        }
+        None => {
+            let write = lock(&node.book).release(now_ms(), service, heir.clone());
+            if let Some(write) = write {
+                write_lease(node, write).await;
+            }
         }
     }
     log::info!(
@@ -367,6 +382,7 @@
         owner = taken.as_ref().map_or("-", |owner| &*owner.node); ""
     );
     lock(&node.services).remove(service);
+    owned.stop().await;
     node.refresh.notify_one();
 }
 
@@ -391,7 +407,13 @@
 }
 
 impl Node {
-    /// Takes over a lease whose holder has stopped acting.
+    /// Takes note that the one who offered a lease has stopped acting.
+    pub(crate) fn begin_owning(self: &Arc<Self>, service: &Name) {
+        lock(&self.book).begin(service);
+        apply_held(self);
+    }
+
+    /// Acquires a lease whose holder is about to stop acting.
     pub async fn accept_offer(self: &Arc<Self>, offer: LeaseOffer) -> Option<Owner> {
         if self.is_stopping() {
             return None;
@@ -419,10 +441,11 @@
         self.set_stopping();
         log::info!(event = "stopping", grace_ms = self.settings.grace_ms; "");
         let services: Vec<Name> = lock(&self.services).keys().cloned().collect();
-        join_all(services.iter().map(|service| hand_over(self, service, None, "stopping"))).await;
-        // By now the balancer has seen two readiness checks fail.
+        let giving =
+            join_all(services.iter().map(|service| hand_over(self, service, None, "stopping")));
+        // By then the balancer has seen two readiness checks fail.
         let unready = Duration::from_millis(self.settings.grace_ms * 2 / 5);
-        tokio::time::sleep(unready).await;
+        futures::join!(giving, tokio::time::sleep(unready));
         self.leaving.cancel();
     }
 
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -219,8 +219,10 @@
     async fn report() -> PeerReport;
     /// Asks the store, and returns whether it answers.
     async fn reaches_store() -> bool;
-    /// Takes over a lease whose holder has stopped acting. Returns the new owner if it did.
+    /// Acquires a lease whose holder is about to stop acting. Returns the new owner if it did.
     async fn offer(offer: LeaseOffer) -> Option<Owner>;
+    /// Tells that the one who offered a lease has stopped acting.
+    async fn begin(service: Name);
     /// Tells what the node knows; `None` if it does not read the store itself.
     async fn news(ask: NewsAsk) -> Option<News>;
     /// Takes rights to operations of a tenant from the owner of the tenant's home service.
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -250,6 +250,17 @@
         Ok(answered)
     }
 
+    /// Tells another node that it may act as owner of a service that was offered to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn begin(&self, address: SocketAddr, service: Name) -> Result<(), RelayError> {
+        let client = self.client(address).await?;
+        let telling = client.begin(control_context(), service);
+        telling.await.map_err(|error| self.failed(address, &error))
+    }
+
     /// Asks another node what it knows.
     ///
     /// # Errors
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -65,6 +65,10 @@
         self.node.accept_offer(offer).await
     }
 
+    async fn begin(self, _: Context, service: Name) {
+        self.node.begin_owning(&service);
+    }
+
     async fn news(self, _: Context, ask: NewsAsk) -> Option<News> {
         self.node.news(&ask)
     }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -43,9 +43,6 @@
 use crate::sync::lock;
 use crate::tenant_rates::TenantRates;
 
-/// Failures in a row after which the store counts as lost: one may be a lost answer.
-const STORE_LOST_FAILURES: u64 = 2;
-
 /// Time between two attempts to give a service away, in milliseconds.
 const OFFER_INTERVAL_MS: u64 = 500;
 
@@ -116,7 +113,7 @@
     is_closing: AtomicBool,
     is_handing_over: AtomicBool,
     offered_at_ms: AtomicU64,
-    store_failures: AtomicU64,
+    has_lost_store: AtomicBool,
     leave_wish: Mutex<Option<LeaveWish>>,
     pool: Mutex<Pool<PooledConnection>>,
     tickets: Mutex<HashMap<u64, oneshot::Sender<Granted>>>,
@@ -151,7 +148,7 @@
             is_closing: AtomicBool::new(false),
             is_handing_over: AtomicBool::new(false),
             offered_at_ms: AtomicU64::new(0),
-            store_failures: AtomicU64::new(0),
+            has_lost_store: AtomicBool::new(false),
             leave_wish: Mutex::default(),
             pool: Mutex::new(Pool::new(border.zone.clone())),
             border,
@@ -190,24 +187,19 @@
         self.valid_until_ms.load(Ordering::Acquire).saturating_sub(now_ms)
     }
 
-    /// Takes note that the store answered a write.
+    /// Takes note that the store serves this node.
     pub fn note_store_answer(&self) {
-        self.store_failures.store(0, Ordering::Release);
-    }
-
-    /// Takes note that a write to the store failed.
-    pub fn note_store_failure(&self) {
-        self.store_failures.fetch_add(1, Ordering::AcqRel);
+        self.has_lost_store.store(false, Ordering::Release);
     }
 
     /// Takes note that the store answers neither a write nor a read.
     pub fn note_store_lost(&self) {
-        self.store_failures.fetch_add(STORE_LOST_FAILURES, Ordering::AcqRel);
+        self.has_lost_store.store(true, Ordering::Release);
     }
 
     /// Returns whether the store does not serve this node.
     pub fn has_lost_store(&self) -> bool {
-        self.store_failures.load(Ordering::Acquire) >= STORE_LOST_FAILURES
+        self.has_lost_store.load(Ordering::Acquire)
     }
 
     /// Returns whether new operations are taken.
@@ -220,6 +212,11 @@
         self.is_handing_over.load(Ordering::Acquire)
     }
 
+    /// Takes note that nobody took the service.
+    pub fn stop_handing_over(&self) {
+        self.is_handing_over.store(false, Ordering::Release);
+    }
+
     /// Marks the service as being given away. Returns whether it was not yet.
     pub fn start_handing_over(&self) -> bool {
         !self.is_handing_over.swap(true, Ordering::AcqRel)
--- a/core/tests/core/leases.rs
+++ b/core/tests/core/leases.rs
@@ -115,7 +115,7 @@
                 .iter()
                 .enumerate()
                 .filter_map(|(number, book)| {
-                    let (valid_until_ms, token) = book.held(&service)?;
+                    let (valid_until_ms, token) = book.held(now_ms, &service)?;
                     (now_ms < valid_until_ms).then_some((number, token))
                 })
                 .collect();
@@ -189,3 +189,22 @@
     book.observe(1_010, &service, Some(write.record), 13);
     assert_eq!(book.pending_promotion(&service).as_deref(), Some("m2"));
 }
+
+#[test]
+fn an_heir_acts_when_the_one_before_it_has_stopped_or_can_act_no_more() {
+    let service: Name = "dispatch".into();
+    let acquire = || {
+        let mut book = LeaseBook::new(identity(1));
+        book.accept_offer(1_000, &service, record(0, 5), 12);
+        let write = book.due(1_000, std::slice::from_ref(&service), |_| Some(0)).pop();
+        book.observe(1_010, &service, Some(write.expect("a write").record), 13);
+        book
+    };
+    let mut book = acquire();
+    assert_eq!(book.held(1_020, &service), None);
+    book.begin(&service);
+    assert!(book.held(1_030, &service).is_some());
+    let book = acquire();
+    assert_eq!(book.held(1_000 + LEASE_MS, &service), None);
+    assert!(book.held(1_010 + LEASE_MS, &service).is_some());
+}
