--- a/core/src/session.rs
+++ b/core/src/session.rs
@@ -140,9 +140,15 @@
             known.configuration.tenants_by_key.get(&self.credential).map(|t| t.name.clone())
         });
         let tenant = tenant.unwrap_or_else(|| "-".into());
+        let route = configuration
+            .as_ref()
+            .and_then(|known| known.configuration.routes.get(&self.database).cloned());
+        let service = route.map_or_else(|| "-".into(), |route| route.service.clone());
+        let owner = self.node.directory.owner(&service);
         self.node.metrics.failed(&tenant, refusal.failure);
         log::info!(
             event = "statement_failed", id = &*statement.id, database = &*self.database,
+            service = &*service, owner = owner.map_or("-".into(), |owner| owner.node),
             tenant = &*tenant, code = refusal.failure.label(), reason = &*refusal.detail,
             configuration = configuration.map_or(0, |known| known.configuration.version),
             took_ms = now_ms().saturating_sub(started_at_ms); ""
