Answer plainly when asked how a daemon is

Cause: an operator had to read metrics to learn whether a host is well. Ruled out: the readiness check, which says only whether new sessions should come.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -155,6 +155,44 @@
         text
     }
 
+    /// Says in plain words how this node is, and whether all is well.
+    pub fn account(&self) -> (bool, String) {
+        let mut troubles = Vec::new();
+        if self.is_stopping() {
+            troubles.push("it is stopping".to_owned());
+        }
+        match self.configuration_age_ms() {
+            None => troubles.push("it knows no configuration yet".to_owned()),
+            Some(age_ms) if age_ms > STORE_AWAY_MS => {
+                troubles.push(format!("it has not heard of the store for {age_ms} ms"));
+            }
+            Some(_) => {}
+        }
+        let known = self.configuration.known();
+        let services = known.map_or_else(Vec::new, |known| known.configuration.service_names());
+        for service in services {
+            match self.directory.owner(&service) {
+                None => troubles.push(format!("nobody owns service {service}")),
+                Some(owner) => {
+                    if let Some(silent_ms) = self.peers.silent_for_ms(owner.address) {
+                        let node = owner.node;
+                        troubles.push(format!(
+                            "{node}, owner of {service}, is silent for {silent_ms} ms"
+                        ));
+                    }
+                }
+            }
+        }
+        let owned: Vec<Arc<OwnedService>> = lock(&self.services).values().cloned().collect();
+        for service in owned {
+            troubles.extend(service.summary().troubles());
+        }
+        match troubles.is_empty() {
+            true => (true, "All is well.\n".to_owned()),
+            false => (false, format!("Not all is well:\n- {}\n", troubles.join("\n- "))),
+        }
+    }
+
     /// Returns the newest configuration if it is fresh enough to act on.
     ///
     /// # Errors
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -378,6 +378,18 @@
 }
 
 impl ServiceSummary {
+    /// Returns what is wrong with the service, in words.
+    pub fn troubles(&self) -> Vec<String> {
+        let service = &self.name;
+        let mut troubles = Vec::new();
+        if !self.members.iter().any(|member| member.is_primary) {
+            troubles.push(format!("service {service} has no primary"));
+        }
+        let failing = self.members.iter().filter(|member| member.is_failing);
+        troubles.extend(failing.map(|m| format!("member {} of {service} does not answer", m.id)));
+        troubles
+    }
+
     /// Writes the summary as text, a line each.
     pub fn render(&self, text: &mut String) {
         let service = &self.name;
