Do not use an idle connection that its member has closed

Cause: a write on a connection that had been closed while idle was told in doubt though it never left; the check existed and was not called. Change: the connection is checked before it is used, and the member is probed. Ruled out: closing idle connections by age, which costs new ones. Measured: nodes::a_write_does_not_use_a_connection_that_its_member_has_closed failed first (InDoubt), passes now.

--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -163,7 +163,13 @@
             };
         };
         let is_primary = grant.is_primary;
-        let mut lent = match grant.connection {
+        let mut connection = grant.connection;
+        // A write on a connection that its member has closed would end in doubt.
+        if connection.as_mut().is_some_and(|connection| connection.link.is_closed()) {
+            connection = None;
+            self.doubt(&grant.member.key, "an idle connection was closed");
+        }
+        let mut lent = match connection {
             Some(connection) => {
                 Lent::new(self.clone(), grant.member.clone(), connection, grant.down)
             }
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -211,6 +211,17 @@
     scene.wait_served(0).await;
 }
 
+/// A write on a connection that its member had closed while it was idle was said to be in doubt.
+#[tokio::test]
+async fn a_write_does_not_use_a_connection_that_its_member_has_closed() {
+    let scene = Scene::start(1).await;
+    let mut session = scene.open(0, "bookings");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    scene.group.restart("m1");
+    run(&mut session, "w2", "STORE a 2").await.expect("written");
+    assert_eq!(scene.times_run("w2"), 1);
+}
+
 #[tokio::test]
 async fn a_read_whose_answer_is_lost_is_served_by_another_member() {
     let scene = Scene::start(1).await;
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -125,6 +125,7 @@
 struct MemberState {
     is_primary: bool,
     is_up: bool,
+    lives: u64,
     term: u64,
     position: LogPosition,
     /// What the log includes at most; `None` for all.
@@ -157,6 +158,7 @@
             let state = MemberState {
                 is_primary: number == 1,
                 is_up: true,
+                lives: 1,
                 term: 1,
                 position: LogPosition::new(1, 0),
                 stuck_at: None,
@@ -193,6 +195,11 @@
         self.with(id, |member| member.is_up = is_up);
     }
 
+    /// Ends a member's connections, as a restart does.
+    pub fn restart(&self, id: &str) {
+        self.with(id, |member| member.lives += 1);
+    }
+
     pub fn hold_back(&self, id: &str) {
         self.with(id, |member| member.stuck_at = Some(member.position));
     }
@@ -238,6 +245,7 @@
             address: member.address,
             block: BlockState::Idle,
             writes: 0,
+            life: state.lives,
         };
         Ok(Box::new(link))
     }
@@ -248,6 +256,7 @@
     address: SocketAddr,
     block: BlockState,
     writes: u64,
+    life: u64,
 }
 
 impl StandInLink {
@@ -272,7 +281,7 @@
         let (state, fate) = {
             let mut members = self.group.members.lock().expect("no holder panics");
             let (_, state) = members.get_mut(&self.address).expect("the member is known");
-            if !state.is_up {
+            if !state.is_up || self.life != state.lives {
                 return Err(MemberError::Closed("the member ended".to_owned()));
             }
             let takes_fate =
@@ -374,7 +383,8 @@
     }
 
     fn is_closed(&mut self) -> bool {
-        false
+        let members = self.group.members.lock().expect("no holder panics");
+        self.life != members[&self.address].1.lives
     }
 
     fn decode_status(&self, reply: &MemberReply) -> Option<MemberStatus> {
