--- a/core/src/lease_book.rs
+++ b/core/src/lease_book.rs
@@ -291,7 +291,7 @@
         }
     }
 
-    /// Returns the write that releases a lease that was given up.
+    /// Returns the write that releases a lease; its holder has stopped acting by then.
     pub fn release(
         &mut self,
         now_ms: u64,
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -197,11 +197,6 @@
         &self.members
     }
 
-    /// Returns a member.
-    pub fn member_mut(&mut self, key: &MemberKey) -> Option<&mut PoolMember<Conn>> {
-        self.members.get_mut(key)
-    }
-
     /// Returns the primary.
     pub fn primary(&self) -> Option<&MemberKey> {
         self.primary.as_ref()
