--- a/core/src/lease_book.rs
+++ b/core/src/lease_book.rs
@@ -13,7 +13,6 @@
 use serde::Serialize;
 
 use crate::name::Name;
-use crate::relay::SeenLease;
 
 /// Validity of a lease after its renewal was sent, in milliseconds: outlasts an outage of the store
 /// of nearly three seconds, and bounds how long a service waits when its owner goes dark.
@@ -64,6 +63,19 @@
     pub pending_promotion: Option<Name>,
 }
 
+/// A lease, with the time for which its record has not changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenLease {
+    /// Service whose lease it is.
+    pub service: Name,
+    /// The record.
+    pub record: LeaseRecord,
+    /// Its version.
+    pub version: u64,
+    /// For how long this version has been known, in milliseconds.
+    pub seen_for_ms: u64,
+}
+
 /// The process that keeps a book.
 #[derive(Clone, Debug)]
 pub struct Identity {
--- /dev/null
+++ b/core/src/lease_records.rs
@@ -0,0 +1,66 @@
+//! Leases, as they stand in the store.
+
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::directory::Owner;
+use crate::lease_book::LeaseRecord;
+use crate::name::Name;
+use crate::node::Node;
+use crate::sync::lock;
+
+/// Prefix of the keys of leases.
+pub(crate) const LEASE_PREFIX: &str = "lease/";
+
+/// Partitions over which leases are spread: each serves its writes one after the other, and few
+/// a second while the store is slow.
+const LEASE_PARTITIONS: u64 = 256;
+
+/// Returns the partition of a service's lease.
+pub(crate) fn lease_partition(service: &str) -> String {
+    format!("leases-{}", xxh3_64(service.as_bytes()) % LEASE_PARTITIONS)
+}
+
+/// Returns the services of the configuration.
+pub(crate) fn service_names(node: &Node) -> Vec<Name> {
+    node.configuration.known().map_or_else(Vec::new, |known| known.configuration.service_names())
+}
+
+/// Takes note of a lease whose present version has been known since `now_ms`.
+pub(crate) fn learn_lease(
+    node: &Node,
+    now_ms: u64,
+    service: &Name,
+    record: LeaseRecord,
+    version: u64,
+) {
+    let owner = Owner {
+        node: record.holder.clone(),
+        address: record.address,
+        version,
+        is_released: record.is_released,
+    };
+    lock(&node.book).observe(now_ms, service, Some(record), version);
+    if node.directory.learn(service, owner.clone()) {
+        log::info!(
+            event = "owner_changed", service = &**service, owner = &*owner.node,
+            version = version, released = owner.is_released; ""
+        );
+    }
+}
+
+/// Returns this node's place among the candidates for a service: those with few services first,
+/// in an order that differs from service to service.
+pub(crate) fn rank(node: &Node, service: &Name, loads: &HashMap<Name, u64>) -> Option<u64> {
+    if node.is_stopping() {
+        return None;
+    }
+    let score = |name: &Name| {
+        let load = loads.get(name).copied().unwrap_or(0);
+        (load, xxh3_64(format!("{service}/{name}").as_bytes()))
+    };
+    let mine = score(&node.settings.identity.node);
+    let nodes = lock(&node.nodes);
+    Some(nodes.keys().filter(|name| score(name) < mine).count() as u64)
+}
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -20,14 +20,15 @@
 use crate::lease_book::Identity;
 use crate::lease_book::LEASE_MS;
 use crate::lease_book::LeaseBook;
+use crate::lost_work::LostWork;
 use crate::member::MemberConnector;
 use crate::member::PromotionOrders;
 use crate::member_directory::MemberDirectory;
 use crate::metrics::Metrics;
 use crate::name::Name;
+use crate::node_record::NodeRecord;
 use crate::outcome::Failure;
 use crate::outcome::Refusal;
-use crate::ownership::NodeRecord;
 use crate::relay::Call;
 use crate::relay::CallReply;
 use crate::relay::PeerPool;
@@ -277,11 +278,6 @@
         }
     }
 
-    /// Returns whether this node reaches a member of a service.
-    pub async fn reaches_member(&self, service: &str, address: SocketAddr) -> bool {
-        crate::ownership::reaches_member(self, service, address).await
-    }
-
     /// Runs a statement at the owner of its service, wherever that is. Returns the reply, and the
     /// node at which a transaction is open.
     pub async fn call(&self, mut call: Call) -> (CallReply, Option<SocketAddr>) {
@@ -369,15 +365,20 @@
 
 /// Returns what to tell of a call that may have been carried out; `None` if it may be repeated.
 pub(crate) fn outcome_of_lost(call: &Call, reason: &str) -> Option<Refusal> {
-    let in_transaction = call.lane.is_some() || call.open.is_some();
-    match &call.step {
-        Step::Run(work) if !in_transaction && work.access == Access::Read => None,
-        Step::Run(_) if !in_transaction => {
-            Some(Refusal::new(Failure::InDoubt, &format!("write may have run: {reason}")))
-        }
-        Step::Commit { .. } => {
-            Some(Refusal::new(Failure::InDoubt, &format!("commit may have run: {reason}")))
-        }
-        _ => Some(Refusal::new(Failure::Aborted, &format!("never committed: {reason}"))),
+    let work = LostWork {
+        is_in_transaction: call.lane.is_some() || call.open.is_some(),
+        may_write: match &call.step {
+            Step::Run(work) => work.access == Access::Write,
+            Step::Commit { .. } => true,
+            Step::Rollback => false,
+        },
+        may_end_transaction: matches!(call.step, Step::Commit { .. }),
+    };
+    if work.may_be_repeated() {
+        return None;
     }
+    Some(match work.may_be_kept() {
+        true => Refusal::new(Failure::InDoubt, &format!("may have taken effect: {reason}")),
+        false => Refusal::new(Failure::Aborted, &format!("never committed: {reason}")),
+    })
 }
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -6,20 +6,23 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use serde::Deserialize;
-use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::now_ms;
 use crate::directory::Owner;
 use crate::knowledge;
 use crate::lease_book::LeaseRecord;
 use crate::lease_book::LeaseWrite;
+use crate::lease_records::LEASE_PREFIX;
+use crate::lease_records::learn_lease;
+use crate::lease_records::lease_partition;
+use crate::lease_records::rank;
+use crate::lease_records::service_names;
 use crate::member::MemberEntry;
 use crate::member::MemberError;
 use crate::member::MemberKey;
 use crate::name::Name;
 use crate::node::Node;
+use crate::node_record::NodeRecord;
 use crate::outcome::Failure;
 use crate::relay::LeaseOffer;
 use crate::relay::PeerReport;
@@ -57,27 +60,6 @@
 /// write usually takes, shorter than one at a slow store.
 const SLOW_WRITE: Duration = Duration::from_millis(500);
 
-/// Prefix of the keys of leases.
-pub(crate) const LEASE_PREFIX: &str = "lease/";
-
-/// Partitions over which leases are spread: each serves its writes one after the other, and few
-/// a second while the store is slow.
-const LEASE_PARTITIONS: u64 = 256;
-
-/// Returns the partition of a service's lease.
-fn lease_partition(service: &str) -> String {
-    format!("leases-{}", xxh3_64(service.as_bytes()) % LEASE_PARTITIONS)
-}
-
-/// A node, as it announces itself in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NodeRecord {
-    /// Its name.
-    pub name: Name,
-    /// Where other nodes reach it.
-    pub address: SocketAddr,
-}
-
 /// Returns an identity for a new process.
 pub fn new_incarnation() -> u64 {
     rand::random()
@@ -89,32 +71,6 @@
     node.tasks.spawn(keep_leases(node.clone()));
 }
 
-pub(crate) fn service_names(node: &Node) -> Vec<Name> {
-    node.configuration.known().map_or_else(Vec::new, |known| known.configuration.service_names())
-}
-
-pub(crate) fn learn_lease(
-    node: &Node,
-    now_ms: u64,
-    service: &Name,
-    record: LeaseRecord,
-    version: u64,
-) {
-    let owner = Owner {
-        node: record.holder.clone(),
-        address: record.address,
-        version,
-        is_released: record.is_released,
-    };
-    lock(&node.book).observe(now_ms, service, Some(record), version);
-    if node.directory.learn(service, owner.clone()) {
-        log::info!(
-            event = "owner_changed", service = &**service, owner = &*owner.node,
-            version = version, released = owner.is_released; ""
-        );
-    }
-}
-
 async fn keep_leases(node: Arc<Node>) {
     loop {
         tokio::select! {
@@ -136,25 +92,6 @@
     }
 }
 
-/// Returns this node's place among the candidates for a service: those with few services first,
-/// in an order that differs from service to service.
-pub(crate) fn rank(
-    node: &Node,
-    service: &Name,
-    loads: &std::collections::HashMap<Name, u64>,
-) -> Option<u64> {
-    if node.is_stopping() {
-        return None;
-    }
-    let score = |name: &Name| {
-        let load = loads.get(name).copied().unwrap_or(0);
-        (load, xxh3_64(format!("{service}/{name}").as_bytes()))
-    };
-    let mine = score(&node.settings.identity.node);
-    let nodes = lock(&node.nodes);
-    Some(nodes.keys().filter(|name| score(name) < mine).count() as u64)
-}
-
 async fn write_lease(node: &Arc<Node>, write: LeaseWrite) -> bool {
     let key = format!("{LEASE_PREFIX}{}", write.service);
     let Ok(value) = serde_json::to_vec(&write.record) else { return false };
@@ -429,6 +366,26 @@
         self.directory.owner(&offer.service).filter(|owner| owner.address == me)
     }
 
+    /// Returns whether a member of a service answers this node at an address.
+    pub async fn reaches_member(&self, service: &str, address: SocketAddr) -> bool {
+        let member = MemberEntry {
+            key: MemberKey { id: "".into(), incarnation: 0 },
+            service: service.into(),
+            address,
+            zone: "".into(),
+            slots: 1,
+            is_draining: false,
+            cold_ms: 0,
+            claims_primary: false,
+        };
+        let connecting = self.border.connector.connect(&member, crate::service::OWN_NAME);
+        match tokio::time::timeout(REACH_TIMEOUT, connecting).await {
+            Ok(Ok(_)) => true,
+            Ok(Err(MemberError::Refused(refusal))) => refusal.failure != Failure::WrongMember,
+            _ => false,
+        }
+    }
+
     /// Asks the store, and returns whether it answers.
     pub async fn reaches_store(&self) -> bool {
         let after = lock(&self.records_version).map_or(0, |(version, _)| version);
@@ -514,23 +471,3 @@
         owned.ask_to_leave(heir, reason);
     }
 }
-
-/// Returns whether a member of a service answers this node at an address.
-pub(crate) async fn reaches_member(node: &Node, service: &str, address: SocketAddr) -> bool {
-    let member = MemberEntry {
-        key: MemberKey { id: "".into(), incarnation: 0 },
-        service: service.into(),
-        address,
-        zone: "".into(),
-        slots: 1,
-        is_draining: false,
-        cold_ms: 0,
-        claims_primary: false,
-    };
-    let connecting = node.border.connector.connect(&member, crate::service::OWN_NAME);
-    match tokio::time::timeout(REACH_TIMEOUT, connecting).await {
-        Ok(Ok(_)) => true,
-        Ok(Err(MemberError::Refused(refusal))) => refusal.failure != Failure::WrongMember,
-        _ => false,
-    }
-}
--- a/core/src/rate_broker.rs
+++ b/core/src/rate_broker.rs
@@ -5,8 +5,8 @@
 use crate::clock::now_ms;
 use crate::name::Name;
 use crate::node::Node;
-use crate::relay::TokenGrant;
 use crate::sync::lock;
+use crate::tenant_rates::TokenGrant;
 use crate::tenant_rates::home_service;
 use crate::token_cache::TokenAnswer;
 
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -12,18 +12,20 @@
 use crate::configuration::Configuration;
 use crate::directory::Owner;
 use crate::lease_book::LeaseRecord;
+use crate::lease_book::SeenLease;
 use crate::log_position::LogPosition;
 use crate::member::MemberEntry;
 use crate::name::Name;
+use crate::node_record::NodeRecord;
 use crate::outcome::Answer;
 use crate::outcome::Refusal;
-use crate::ownership::NodeRecord;
 pub use crate::relay::client::PeerPool;
 pub use crate::relay::client::RelayError;
 pub use crate::relay::client::watch_far_end;
 pub use crate::relay::server::serve_peers;
 use crate::statement::Access;
 use crate::statement::Work;
+use crate::tenant_rates::TokenGrant;
 
 /// What a read must include.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -171,19 +173,6 @@
     pub wants_leases: bool,
 }
 
-/// A lease, with the time for which its record has not changed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SeenLease {
-    /// Service whose lease it is.
-    pub service: Name,
-    /// The record.
-    pub record: LeaseRecord,
-    /// Its version.
-    pub version: u64,
-    /// For how long this version has been known, in milliseconds.
-    pub seen_for_ms: u64,
-}
-
 /// What a node knows that the asking one does not.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
@@ -201,15 +190,6 @@
     pub leases: Vec<SeenLease>,
 }
 
-/// Rights to operations of a tenant.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TokenGrant {
-    /// How many were granted.
-    pub granted: u32,
-    /// In how many milliseconds there will be one, if none was granted.
-    pub retry_after_ms: u64,
-}
-
 /// What nodes ask of each other.
 #[tarpc::service]
 pub trait Relay {
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -27,8 +27,8 @@
 use crate::relay::NewsAsk;
 use crate::relay::PeerReport;
 use crate::relay::RelayClient;
-use crate::relay::TokenGrant;
 use crate::sync::lock;
+use crate::tenant_rates::TokenGrant;
 
 /// Longest wait for a connection to a node: many times the way between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -26,10 +26,10 @@
 use crate::relay::NewsAsk;
 use crate::relay::PeerReport;
 use crate::relay::Relay;
-use crate::relay::TokenGrant;
 use crate::relay::client::frames;
 use crate::relay::client::watch_far_end;
 use crate::sync::lock;
+use crate::tenant_rates::TokenGrant;
 
 /// What one node asked for over one connection; its transactions end with the connection.
 #[derive(Clone)]
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -32,7 +32,6 @@
 use crate::member_directory::MemberDirectory;
 use crate::metrics::Metrics;
 use crate::name::Name;
-use crate::relay::TokenGrant;
 use crate::service::connection::PooledConnection;
 use crate::service::lanes::Lane;
 use crate::service::lent::SlotGuard;
@@ -42,6 +41,7 @@
 pub(crate) use crate::service::probe::OWN_NAME;
 use crate::sync::lock;
 use crate::tenant_rates::TenantRates;
+use crate::tenant_rates::TokenGrant;
 
 /// Time between two attempts to give a service away, in milliseconds.
 const OFFER_INTERVAL_MS: u64 = 500;
--- a/core/src/session.rs
+++ b/core/src/session.rs
@@ -26,6 +26,7 @@
 use crate::relay::Step;
 use crate::session::block::Block;
 use crate::session::block::OpenLane;
+use crate::session_floors::SessionFloors;
 use crate::statement::Access;
 use crate::statement::PreparedShape;
 use crate::statement::Statement;
@@ -50,7 +51,7 @@
     credential: Name,
     values: BTreeMap<Name, Name>,
     prepared: HashMap<Name, PreparedShape>,
-    own_commits: HashMap<Name, LogPosition>,
+    own_commits: SessionFloors,
     block: Block,
 }
 
@@ -76,7 +77,7 @@
             credential,
             values: BTreeMap::new(),
             prepared: HashMap::new(),
-            own_commits: HashMap::new(),
+            own_commits: SessionFloors::default(),
             block: Block::None,
         };
         session.admit()?;
@@ -264,7 +265,7 @@
                 ReadNeed::AtMost { max_staleness_ms, floor: None }
             }
             Consistency::ReadOwnWrites { max_staleness_ms } => {
-                let floor = self.own_commits.get(&route.service).copied();
+                let floor = self.own_commits.of(&route.service);
                 ReadNeed::AtMost { max_staleness_ms, floor }
             }
         }
@@ -468,8 +469,7 @@
 
     fn note_commit(&mut self, service: &Name, position: Option<LogPosition>) {
         if let Some(position) = position {
-            let known = self.own_commits.entry(service.clone()).or_default();
-            *known = (*known).max(position);
+            self.own_commits.note(service, position);
         }
     }
 
--- a/core/src/tenant_rates.rs
+++ b/core/src/tenant_rates.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashMap;
 
+use serde::Deserialize;
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::configuration::Configuration;
 use crate::name::Name;
-use crate::relay::TokenGrant;
 use crate::token_bucket::TokenBucket;
 
 /// Returns the service whose owner counts a tenant's operations.
@@ -18,6 +19,15 @@
     configuration.services.keys().max_by_key(weight).cloned()
 }
 
+/// Rights to operations of a tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenGrant {
+    /// How many were granted.
+    pub granted: u32,
+    /// In how many milliseconds there will be one, if none was granted.
+    pub retry_after_ms: u64,
+}
+
 /// Buckets of the tenants that one owner counts.
 ///
 /// A new owner starts with nearly empty buckets: its predecessor may have spent the burst.
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -7,4 +7,5 @@
 mod nodes;
 mod pools;
 mod rates;
+mod session_rules;
 mod stand_in;
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -13,5 +13,4 @@
 pub mod session_settings;
 pub mod startup;
 pub mod statement_class;
-pub mod token;
 pub mod transaction_block;
--- a/src/caller/guard.rs
+++ b/src/caller/guard.rs
@@ -7,8 +7,8 @@
 
 use crate::clock;
 use crate::fleet::fleet_document::Workspace;
+use crate::limit::standing_clock::StandingClock;
 use crate::traffic::snapshot::Snapshot;
-use crate::traffic::standing_clock::StandingClock;
 use crate::wire::sql_error::SqlError;
 use crate::wire::sql_state;
 
--- a/src/caller/request_runner.rs
+++ b/src/caller/request_runner.rs
@@ -28,6 +28,7 @@
 use crate::traffic::context::TrafficContext;
 use crate::wire::sql_error::SqlError;
 use crate::wire::sql_state;
+use snipehead_core::lost_work::LostWork;
 
 /// Pause before a request that met a former primary is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
@@ -331,22 +332,23 @@
         if error == LaneError::NotAcknowledged {
             return Attempt::Failed(unknown_outcome(&error));
         }
-        let only_reads = !work.writes && self.block.is_none();
-        if only_reads && !is_forwarded {
-            return Attempt::NotRun(not_run("the connection to the member was lost"));
+        let lost = LostWork {
+            is_in_transaction: self.block.is_some(),
+            may_write: work.writes || self.block.is_some(),
+            may_end_transaction: work.ends_block,
+        };
+        if lost.may_be_kept() {
+            return Attempt::Failed(unknown_outcome(&error));
         }
-        if only_reads {
-            let message = "the connection to the member was lost within the answer";
-            return Attempt::Failed(SqlError::new("08006", message));
+        // A block that has only begun can begin once more.
+        if !is_forwarded && (is_first || lost.may_be_repeated()) {
+            return Attempt::NotRun(not_run("the connection to the member was lost"));
         }
-        match &self.block {
-            // Without its COMMIT the member rolls the block back.
-            Some(_) if !work.ends_block => match is_first && !is_forwarded {
-                true => Attempt::NotRun(not_run("the connection to the member was lost")),
-                false => Attempt::Failed(rolled_back()),
-            },
-            _ => Attempt::Failed(unknown_outcome(&error)),
+        if lost.is_in_transaction {
+            return Attempt::Failed(rolled_back());
         }
+        let message = "the connection to the member was lost within the answer";
+        Attempt::Failed(SqlError::new("08006", message))
     }
 
     /// Takes the member's status after work into account, and gives the lane back when the
--- a/src/caller/session_settings.rs
+++ b/src/caller/session_settings.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::token::TokenContent;
-use super::token::TokenSigner;
 use crate::group::log_position::LogPosition;
+use crate::traffic::token::TokenContent;
+use crate::traffic::token::TokenSigner;
 use crate::wire::sql_error::SqlError;
 use crate::wire::sql_state;
+use snipehead_core::session_floors::SessionFloors;
 
 /// Settings of PostgreSQL that a session may change. They are set on each connection that the
 /// session borrows, and reset before it is given back.
@@ -46,7 +47,7 @@
     /// Id of the next request or transaction.
     pub request_id: Option<String>,
     /// What the session wrote, in this group and others.
-    pub floors: BTreeMap<String, LogPosition>,
+    pub floors: SessionFloors,
     /// Place of the group when the session arrived, once known.
     pub arrival_floor: Option<LogPosition>,
     /// Whether a token told what the session wrote before.
@@ -61,13 +62,12 @@
 
     /// Returns the place up to which the session has written in its group.
     pub fn own_floor(&self) -> LogPosition {
-        self.floors.get(&*self.group).copied().unwrap_or_default()
+        self.floors.of(&self.group).unwrap_or_default()
     }
 
     /// Notes a write of the session.
     pub fn note_write(&mut self, commit: LogPosition) {
-        let floor = self.floors.entry(self.group.to_string()).or_default();
-        *floor = (*floor).max(commit);
+        self.floors.note(&self.group, commit);
     }
 
     /// Sets or resets a setting.
@@ -145,10 +145,7 @@
             let message = "the session token is not valid for this workspace";
             return Err(SqlError::new(sql_state::INVALID_PARAMETER, message));
         };
-        for (group, floor) in content.floors {
-            let known = self.floors.entry(group).or_default();
-            *known = (*known).max(floor);
-        }
+        self.floors.merge(&content.floors);
         self.has_token = true;
         Ok(())
     }
--- a/src/chart.rs
+++ b/src/chart.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::finding::Finding;
+use crate::fleet::finding::Finding;
 
 /// A step from one state to another.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
--- a/src/client.rs
+++ b/src/client.rs
@@ -3,4 +3,3 @@
 pub mod arguments;
 pub mod commands;
 pub mod connection;
-pub mod demo;
--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -17,16 +17,16 @@
 use super::arguments::ZoneCommand;
 use super::connection::connect;
 use super::connection::find_secret;
-use super::demo;
 use crate::control::operate::ChangeReceipt;
 use crate::control::operate::ChangeRequest;
+use crate::demo;
 use crate::fleet::change::Operation;
+use crate::fleet::finding::Finding;
 use crate::fleet::key::Key;
 use crate::load;
 use crate::measure;
 use crate::operator::api::OperatorApiClient;
 use crate::operator::status::Health;
-use crate::settings::finding::Finding;
 use crate::settings::load::load_daemon_settings;
 use crate::settings::load::load_fleet_document;
 
--- a/src/control/daemon_life.rs
+++ b/src/control/daemon_life.rs
@@ -2,7 +2,7 @@
 //! `charts/daemon_life.json`.
 
 use crate::chart::Machine;
-use crate::settings::finding::Finding;
+use crate::fleet::finding::Finding;
 
 /// The steps of a daemon's life.
 const CHART: &str = include_str!("../../charts/daemon_life.json");
--- a/src/control/failover.rs
+++ b/src/control/failover.rs
@@ -2,9 +2,9 @@
 //! `charts/failover.json`.
 
 use crate::chart::Machine;
+use crate::fleet::finding::Finding;
 use crate::group::member_control::Grant;
 use crate::group::quorum::Quorum;
-use crate::settings::finding::Finding;
 
 /// The steps of a failover.
 const CHART: &str = include_str!("../../charts/failover.json");
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -1,5 +1,6 @@
 //! The way to the control thread.
 
+use async_trait::async_trait;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -10,6 +11,7 @@
 use crate::peer::rpc::DaemonReport;
 use crate::peer::rpc::ExchangeAnswer;
 use crate::peer::rpc::ExchangeRequest;
+use crate::peer::server::PeerAnswers;
 
 /// What the control thread is asked.
 pub(super) enum Question {
@@ -39,11 +41,6 @@
         receiver.await.ok()
     }
 
-    /// Answers another daemon.
-    pub async fn exchange(&self, request: ExchangeRequest) -> Option<ExchangeAnswer> {
-        self.ask(|sender| Question::Exchange(request, sender)).await
-    }
-
     /// Reports on this daemon.
     pub async fn report(&self) -> Option<DaemonReport> {
         self.ask(Question::Report).await
@@ -71,16 +68,6 @@
         answer.unwrap_or_default()
     }
 
-    /// Moves a group's primary, if this daemon is a home of the group.
-    ///
-    /// # Errors
-    ///
-    /// Returns a sentence when it was not moved.
-    pub async fn move_primary_here(&self, group: String, member: String) -> Result<String, String> {
-        let answer = self.ask(|sender| Question::MoveHere(group, member, sender)).await;
-        answer.unwrap_or_else(|| Err("the daemon stops".to_owned()))
-    }
-
     /// Moves a group's primary by way of one of its homes.
     ///
     /// # Errors
@@ -97,6 +84,22 @@
     }
 }
 
+#[async_trait]
+impl PeerAnswers for ControlHandle {
+    async fn exchange(&self, request: ExchangeRequest) -> Option<ExchangeAnswer> {
+        self.ask(|sender| Question::Exchange(request, sender)).await
+    }
+
+    async fn report(&self) -> Option<DaemonReport> {
+        Self::report(self).await
+    }
+
+    async fn move_primary(&self, group: String, member: String) -> Result<String, String> {
+        let answer = self.ask(|sender| Question::MoveHere(group, member, sender)).await;
+        answer.unwrap_or_else(|| Err("the daemon stops".to_owned()))
+    }
+}
+
 /// Creates the way to a control thread that is not running yet.
 pub fn channel() -> (ControlHandle, ControlQuestions) {
     let (sender, receiver) = mpsc::channel(1_000);
--- a/src/control/operate.rs
+++ b/src/control/operate.rs
@@ -9,7 +9,7 @@
 use crate::clock;
 use crate::fleet::change::Change;
 use crate::fleet::change::Operation;
-use crate::settings::finding::Finding;
+use crate::fleet::finding::Finding;
 
 /// A change that an operator asks for.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/src/control/share_ledger.rs
+++ b/src/control/share_ledger.rs
@@ -7,8 +7,8 @@
 
 use std::collections::BTreeMap;
 
-use serde::Deserialize;
-use serde::Serialize;
+use crate::peer::rate_share::Demand;
+use crate::peer::rate_share::Gift;
 
 /// A whole rate, in millionths.
 pub const WHOLE_PPM: u64 = 1_000_000;
@@ -22,26 +22,6 @@
 /// Part of an even share that is never given away, so that a first request finds some.
 const KEPT_PART: u64 = 5;
 
-/// What a daemon tells of its demand for a workspace.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Demand {
-    /// Name of the workspace.
-    pub workspace: String,
-    /// Statements a second that callers ask for here.
-    pub demand_per_s: f64,
-    /// Share held here, in millionths.
-    pub share_ppm: u64,
-}
-
-/// Share that passes from one daemon to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Gift {
-    /// Name of the workspace.
-    pub workspace: String,
-    /// Share, in millionths.
-    pub share_ppm: u64,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Share {
     held_ppm: u64,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,7 +12,6 @@
 use tokio_util::task::TaskTracker;
 
 use crate::caller::listener::accept_callers;
-use crate::caller::token::TokenSigner;
 use crate::clock;
 use crate::control::driver;
 use crate::control::driver::ControlParts;
@@ -22,6 +21,7 @@
 use crate::fleet::change_log::ChangeLog;
 use crate::group::access::AccessTable;
 use crate::limit::rate_limiter::RateLimiter;
+use crate::limit::standing_clock::StandingClock;
 use crate::metrics::MetricsSender;
 use crate::operator::server::OperatorServer;
 use crate::peer::pool::PeerPool;
@@ -36,7 +36,7 @@
 use crate::traffic::context::CancelForwarder;
 use crate::traffic::context::TrafficContext;
 use crate::traffic::snapshot::Snapshot;
-use crate::traffic::standing_clock::StandingClock;
+use crate::traffic::token::TokenSigner;
 
 /// Longest wait for another daemon.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -94,7 +94,7 @@
         let (control, questions) = handle::channel();
         let peer_context = PeerContext {
             secret: settings.shared_secret.to_string(),
-            control: control.clone(),
+            control: Arc::new(control.clone()),
             traffic: traffic.clone(),
         };
         let peer_address = parse(&settings.peer_address)?;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -3,6 +3,7 @@
 pub mod change;
 pub mod change_log;
 pub mod check;
+pub mod finding;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod fleet_document;
--- a/src/fleet/check.rs
+++ b/src/fleet/check.rs
@@ -6,7 +6,7 @@
 use super::fleet_document::ExceptionScope;
 use super::fleet_document::FleetDocument;
 use super::limits::Limits;
-use crate::settings::finding::Finding;
+use crate::fleet::finding::Finding;
 
 /// Most entry hosts of one fleet.
 const MAX_HOSTS: usize = 1000;
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -15,7 +15,7 @@
 use super::generation::Generation;
 use super::key::Key;
 use super::limits::Limits;
-use crate::settings::finding::Finding;
+use crate::fleet::finding::Finding;
 
 /// The configuration that follows from all changes up to a version.
 #[derive(Clone, Debug, Default)]
--- a/src/group.rs
+++ b/src/group.rs
@@ -4,6 +4,7 @@
 pub mod access;
 pub mod fair_queue;
 pub mod group_home;
+pub mod home_access;
 pub mod lane;
 pub use snipehead_core::log_position;
 pub mod member_connection;
--- a/src/group/group_home.rs
+++ b/src/group/group_home.rs
@@ -5,17 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use async_trait::async_trait;
-
 use super::lane::Freshness;
-use super::lane::GroupAccess;
-use super::lane::LaneGrant;
 use super::lane::LaneRequest;
 use super::log_position::LogPosition;
 use super::member_connection::MemberAddress;
 use super::member_connection::MemberConnection;
 use super::member_control::MemberControl;
-use super::member_lane::MemberLane;
 use super::prober::Prober;
 use super::quorum::Quorum;
 use super::slot_pool::PoolUse;
@@ -29,9 +24,6 @@
 /// How long a member is left alone after a connection to it failed.
 const AVOID_TIME: Duration = Duration::from_millis(200);
 
-/// Longest wait for a member to tell whether its readers see a place in the log.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Longest pause before the view is looked at again while no member fits.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -68,9 +60,9 @@
 }
 
 /// What a request runs on.
-struct Target {
-    member: usize,
-    is_replica: bool,
+pub(super) struct Target {
+    pub(super) member: usize,
+    pub(super) is_replica: bool,
 }
 
 impl GroupHome {
@@ -120,13 +112,18 @@
         &self.prober
     }
 
+    /// Returns the connections and who waits for them.
+    pub(super) fn pool(&self) -> &Arc<SlotPool> {
+        &self.pool
+    }
+
     /// Returns what the connections are doing.
     pub fn usage(&self) -> PoolUse {
         self.pool.usage()
     }
 
     /// Chooses the member for a request, or none while no member fits.
-    fn choose(
+    pub(super) fn choose(
         &self,
         request: &LaneRequest,
         floor: LogPosition,
@@ -180,7 +177,11 @@
         self.prober.refresh();
     }
 
-    async fn floor_for(&self, request: &LaneRequest, deadline: Instant) -> Option<LogPosition> {
+    pub(super) async fn floor_for(
+        &self,
+        request: &LaneRequest,
+        deadline: Instant,
+    ) -> Option<LogPosition> {
         let timeout = deadline.saturating_duration_since(Instant::now());
         let fresh = match request.freshness {
             Freshness::Floor => return Some(request.floor),
@@ -190,7 +191,7 @@
         fresh.map(|fresh| fresh.max(request.floor))
     }
 
-    async fn connect(&self, member: usize) -> Option<MemberConnection> {
+    pub(super) async fn connect(&self, member: usize) -> Option<MemberConnection> {
         if let Some(connection) = self.pool.take_idle(member) {
             return Some(connection);
         }
@@ -199,18 +200,18 @@
         MemberConnection::open(&target).await.ok()
     }
 
-    async fn wait_for_change(&self, deadline: Instant) {
+    pub(super) async fn wait_for_change(&self, deadline: Instant) {
         let mut changes = self.prober.changes();
         let left = deadline.saturating_duration_since(Instant::now());
         let _ = tokio::time::timeout(left.min(RECHECK_INTERVAL), changes.changed()).await;
     }
 
-    fn no_capacity(&self) -> SqlError {
+    pub(super) fn no_capacity(&self) -> SqlError {
         let message = format!("not run: no connection to group {} came free in time", self.name);
         SqlError::new(sql_state::NO_CAPACITY, message).with_hint("Try again in 1 s.")
     }
 
-    fn no_member(&self) -> SqlError {
+    pub(super) fn no_member(&self) -> SqlError {
         let message =
             format!("not run: no member of group {} could take the request in time", self.name);
         SqlError::new(sql_state::NOT_RUN, message).with_hint("Try again in 1 s.")
@@ -233,68 +234,3 @@
         lock(&self.in_flight)[member] -= 1;
     }
 }
-
-/// Access of one daemon to a group that it is a home of.
-pub struct HomeAccess(pub Arc<GroupHome>);
-
-#[async_trait]
-impl GroupAccess for HomeAccess {
-    async fn acquire(&self, request: LaneRequest) -> Result<LaneGrant, SqlError> {
-        let home = &self.0;
-        let workspace: Name = request.workspace.as_str().into();
-        let deadline = Instant::now() + Duration::from_millis(request.timeout_ms);
-        let left = || deadline.saturating_duration_since(Instant::now());
-        let Some(floor) = home.floor_for(&request, deadline).await else {
-            return Err(home.no_member());
-        };
-        let mut skipped = vec![false; home.options().members.len()];
-        loop {
-            if left().is_zero() {
-                return Err(home.no_member());
-            }
-            if home.choose(&request, floor, &skipped).is_none() {
-                home.wait_for_change(deadline).await;
-                continue;
-            }
-            let Some(slot) = home.pool.slot(&workspace, left()).await else {
-                return Err(home.no_capacity());
-            };
-            let Some(target) = home.choose(&request, floor, &skipped) else {
-                continue;
-            };
-            let Some(mut connection) = home.connect(target.member).await else {
-                home.avoid(target.member);
-                drop(slot);
-                home.wait_for_change(deadline).await;
-                continue;
-            };
-            let checking = connection.reaches(floor);
-            let checked = tokio::time::timeout(left().min(CHECK_TIMEOUT), checking).await;
-            match checked {
-                Ok(Ok(true)) => {
-                    let lane = MemberLane::new(
-                        home.clone(),
-                        target.member,
-                        target.is_replica,
-                        connection,
-                        slot,
-                    );
-                    return Ok(LaneGrant {
-                        lane: Box::new(lane),
-                        floor,
-                        is_replica: target.is_replica,
-                    });
-                }
-                Ok(Ok(false)) => {
-                    skipped[target.member] = target.is_replica;
-                    home.pool.keep_idle(target.member, connection);
-                    drop(slot);
-                    if !target.is_replica {
-                        home.wait_for_change(deadline).await;
-                    }
-                }
-                _ => home.avoid(target.member),
-            }
-        }
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,8 @@
 #[cfg(feature = "stand-ins")]
 pub mod client;
 #[cfg(feature = "stand-ins")]
+pub mod demo;
+#[cfg(feature = "stand-ins")]
 pub mod load;
 #[cfg(feature = "stand-ins")]
 pub mod measure;
--- a/src/limit/rate_limiter.rs
+++ b/src/limit/rate_limiter.rs
@@ -10,9 +10,9 @@
 use super::token_bucket::TokenBucket;
 use super::workspace_meter::WorkspaceMeter;
 use crate::clock;
+use crate::limit::standing_clock::StandingClock;
 use crate::name::Name;
 use crate::sync::lock;
-use crate::traffic::standing_clock::StandingClock;
 use crate::wire::sql_error::SqlError;
 use crate::wire::sql_state;
 
--- a/src/load/command.rs
+++ b/src/load/command.rs
@@ -6,18 +6,15 @@
 
 use serde::Serialize;
 
+use super::arguments::Load;
 use super::plot::write_plot;
 use super::runner::LoadShape;
 use super::runner::Target;
 use super::runner::WorkspaceFigures;
 use super::runner::run_workspace;
-use crate::client::arguments::Load;
-use crate::client::demo::EmbeddedDeployment;
+use crate::demo::EmbeddedDeployment;
 use crate::stand_in::deployment::DeploymentPlan;
 
-/// Table that the load writes to.
-pub const TABLE: &str = "snipehead_load";
-
 /// Rate of a deployment that the load starts itself, so that it measures the system's speed.
 const OPEN_RATE: u64 = 1_000_000;
 
--- a/src/load/runner.rs
+++ b/src/load/runner.rs
@@ -15,7 +15,8 @@
 use tokio_postgres::NoTls;
 use tokio_postgres::SimpleQueryMessage;
 
-use super::command::TABLE;
+/// Table that the load writes to.
+const TABLE: &str = "snipehead_load";
 
 /// Rows that reads choose from.
 const ROWS: i64 = 1_000;
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -1,5 +1,6 @@
 //! Measures of what callers experience, each by one command that prints a small table.
 
+pub mod arguments;
 pub mod command;
 pub mod control_cost;
 pub mod data_centre;
--- a/src/measure/command.rs
+++ b/src/measure/command.rs
@@ -1,12 +1,12 @@
 //! The measure command.
 
+use super::arguments::Measure;
 use super::control_cost;
 use super::data_centre;
 use super::failover_gap;
 use super::neighbour;
 use super::rate_refusals;
 use super::replica_reads;
-use crate::client::arguments::Measure;
 
 /// Takes a measure and prints its table.
 ///
--- a/src/measure/scene.rs
+++ b/src/measure/scene.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::client::demo::EmbeddedDeployment;
+use crate::demo::EmbeddedDeployment;
 use crate::load::runner::LoadShape;
 use crate::load::runner::Target;
 use crate::load::runner::WorkspaceFigures;
--- a/src/peer/rpc.rs
+++ b/src/peer/rpc.rs
@@ -3,8 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::control::share_ledger::Demand;
-use crate::control::share_ledger::Gift;
+use super::rate_share::Demand;
+use super::rate_share::Gift;
 use crate::limit::workspace_meter::MeterReading;
 
 /// What a daemon tells another one about itself.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use async_trait::async_trait;
 use futures::StreamExt;
 use subtle::ConstantTimeEq;
 use tarpc::context;
@@ -18,17 +19,33 @@
 use super::rpc::ExchangeAnswer;
 use super::rpc::ExchangeRequest;
 use super::rpc::PeerRpc;
-use crate::control::handle::ControlHandle;
 use crate::traffic::cancel_registry::CancelKey;
 use crate::traffic::context::TrafficContext;
 
+/// What this daemon answers to others.
+#[async_trait]
+pub trait PeerAnswers: Send + Sync {
+    /// Exchanges what each daemon knows; nothing while the daemon stops.
+    async fn exchange(&self, request: ExchangeRequest) -> Option<ExchangeAnswer>;
+
+    /// Reports on this daemon; nothing while it stops.
+    async fn report(&self) -> Option<DaemonReport>;
+
+    /// Moves a group's primary, if this daemon is a home of the group.
+    ///
+    /// # Errors
+    ///
+    /// Returns a sentence when it was not moved.
+    async fn move_primary(&self, group: String, member: String) -> Result<String, String>;
+}
+
 /// What the answers need.
 #[derive(Clone)]
 pub struct PeerContext {
     /// Secret that all daemons share.
     pub secret: String,
     /// The control thread.
-    pub control: ControlHandle,
+    pub control: Arc<dyn PeerAnswers>,
     /// What callers' sessions share.
     pub traffic: Arc<TrafficContext>,
 }
@@ -82,7 +99,7 @@
         member: String,
     ) -> Result<String, String> {
         match self.is_admitted() {
-            true => self.context.control.move_primary_here(group, member).await,
+            true => self.context.control.move_primary(group, member).await,
             false => Err("not admitted".to_owned()),
         }
     }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,4 +7,5 @@
 pub mod relay_access;
 pub mod relay_lane;
 pub mod relay_message;
+pub mod relay_pool;
 pub mod relay_server;
--- a/src/relay/relay_access.rs
+++ b/src/relay/relay_access.rs
@@ -12,68 +12,24 @@
 use pgwire::messages::simplequery::Query;
 
 use super::relay_lane::RelayLane;
-use super::relay_message::RELAY_USER;
 use super::relay_message::RelayCommand;
 use super::relay_message::RelayGrant;
+use super::relay_pool::RelayPool;
 use crate::group::lane::GroupAccess;
 use crate::group::lane::LaneGrant;
 use crate::group::lane::LaneRequest;
-use crate::group::member_connection::MemberAddress;
 use crate::group::member_connection::MemberConnection;
 use crate::group::member_control::MemberError;
 use crate::sync::lock;
 use crate::wire::sql_error::SqlError;
 use crate::wire::sql_state;
 
-/// Longest time to connect to a home.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// How long a home is left alone after it could not be reached.
-const AVOID_TIME: Duration = Duration::from_millis(500);
-
 /// Pause before all homes are tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Added to a request's timeout for the way to the home and back.
 const ANSWER_GRACE: Duration = Duration::from_millis(200);
 
-/// Idle connections kept to one home.
-const MAX_IDLE: usize = 64;
-
-/// Connections to one home for one group.
-pub struct RelayPool {
-    target: MemberAddress,
-    idle: Mutex<Vec<MemberConnection>>,
-    avoided_until: Mutex<Option<Instant>>,
-}
-
-impl RelayPool {
-    /// Keeps a connection on which no lane is open, or on which one is being given back.
-    pub fn keep(&self, connection: MemberConnection) {
-        let mut idle = lock(&self.idle);
-        if idle.len() < MAX_IDLE {
-            idle.push(connection);
-        }
-    }
-
-    fn is_avoided(&self) -> bool {
-        lock(&self.avoided_until).is_some_and(|until| Instant::now() < until)
-    }
-
-    fn avoid(&self) {
-        *lock(&self.avoided_until) = Some(Instant::now() + AVOID_TIME);
-        lock(&self.idle).clear();
-    }
-
-    async fn connect(&self) -> Result<(MemberConnection, bool), MemberError> {
-        let idle = lock(&self.idle).pop();
-        match idle {
-            Some(connection) => Ok((connection, true)),
-            None => Ok((MemberConnection::open(&self.target).await?, false)),
-        }
-    }
-}
-
 /// The way to a group through its homes.
 pub struct RelayAccess {
     group: String,
@@ -99,27 +55,14 @@
     pub fn set_homes(&self, addresses: Vec<SocketAddr>) {
         let mut homes = lock(&self.homes);
         let pool_of = |address: &SocketAddr| {
-            let known = homes.iter().find(|pool| pool.target.address == *address);
-            known.cloned().unwrap_or_else(|| Arc::new(self.new_pool(*address)))
+            let known = homes.iter().find(|pool| pool.address() == *address);
+            let new_pool = || Arc::new(RelayPool::new(*address, &self.group, &self.secret));
+            known.cloned().unwrap_or_else(new_pool)
         };
         let next = addresses.iter().map(pool_of).collect();
         *homes = next;
     }
 
-    fn new_pool(&self, address: SocketAddr) -> RelayPool {
-        RelayPool {
-            target: MemberAddress {
-                address,
-                user: RELAY_USER.to_owned(),
-                password: self.secret.clone(),
-                database: self.group.clone(),
-                connect_timeout: CONNECT_TIMEOUT,
-            },
-            idle: Mutex::new(Vec::new()),
-            avoided_until: Mutex::new(None),
-        }
-    }
-
     /// Asks one home for a lane. An idle connection that turns out broken is replaced.
     async fn ask(
         &self,
--- a/src/relay/relay_lane.rs
+++ b/src/relay/relay_lane.rs
@@ -7,9 +7,9 @@
 use pgwire::messages::PgWireFrontendMessage as Request;
 use pgwire::messages::simplequery::Query;
 
-use super::relay_access::RelayPool;
 use super::relay_message::NOT_ACKNOWLEDGED_PARAMETER;
 use super::relay_message::RelayCommand;
+use super::relay_pool::RelayPool;
 use crate::group::lane::Lane;
 use crate::group::lane::LaneError;
 use crate::group::member_connection::MemberConnection;
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -35,7 +35,7 @@
 use super::relay_message::RelayCommand;
 use super::relay_message::RelayGrant;
 use crate::group::group_home::GroupHome;
-use crate::group::group_home::HomeAccess;
+use crate::group::home_access::HomeAccess;
 use crate::group::lane::GroupAccess;
 use crate::group::lane::Lane;
 use crate::group::lane::LaneError;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,5 @@
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod daemon_settings;
-pub mod finding;
 pub mod load;
 pub mod schema_check;
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -1,10 +1,10 @@
 //! Reading settings and documents from JSON.
 
 use super::daemon_settings::DaemonSettings;
-use super::finding::Finding;
 use super::schema_check;
 use crate::fleet::check::check_address;
 use crate::fleet::check::check_document;
+use crate::fleet::finding::Finding;
 use crate::fleet::fleet_document::FleetDocument;
 
 /// Schema of a daemon's settings.
--- a/src/settings/schema_check.rs
+++ b/src/settings/schema_check.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use super::finding::Finding;
+use crate::fleet::finding::Finding;
 
 /// Least likeness of a known name for it to be suggested in place of an unknown one.
 const MIN_LIKENESS: f64 = 0.7;
--- a/src/stand_in/member/session.rs
+++ b/src/stand_in/member/session.rs
@@ -1,6 +1,8 @@
 //! A PostgreSQL session on a member.
 
 mod control;
+mod extended;
+mod transaction;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,13 +15,6 @@
 use futures::StreamExt;
 use pgwire::messages::PgWireBackendMessage as Reply;
 use pgwire::messages::PgWireFrontendMessage as Request;
-use pgwire::messages::data::NoData;
-use pgwire::messages::data::ParameterDescription;
-use pgwire::messages::extendedquery::Bind;
-use pgwire::messages::extendedquery::BindComplete;
-use pgwire::messages::extendedquery::CloseComplete;
-use pgwire::messages::extendedquery::Parse;
-use pgwire::messages::extendedquery::ParseComplete;
 use pgwire::messages::response::CommandComplete;
 use pgwire::messages::response::EmptyQueryResponse;
 use pgwire::messages::response::ReadyForQuery;
@@ -36,9 +31,10 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
-use self::control::status_columns;
+use self::extended::Portal;
+use self::extended::Prepared;
+use self::transaction::OpenTransaction;
 use crate::stand_in::member::Member;
-use crate::stand_in::member::parameter::decode_parameter;
 use crate::stand_in::member::parameter::to_logged;
 use crate::stand_in::member::result_set;
 use crate::stand_in::member::session_registry::CancelHandle;
@@ -60,23 +56,6 @@
 
 type Wire = Framed<TcpStream, FrontendCodec>;
 
-struct Prepared {
-    statement: Option<MemberStatement>,
-    type_oids: Vec<u32>,
-}
-
-struct Portal {
-    statement: Option<MemberStatement>,
-    values: Vec<Value>,
-    formats: Vec<i16>,
-}
-
-struct OpenTransaction {
-    is_explicit: bool,
-    writes: Option<Vec<LoggedStatement>>,
-    term: u64,
-}
-
 /// One session.
 pub struct Session {
     member: Arc<Member>,
@@ -230,123 +209,6 @@
         }
     }
 
-    async fn answer_extended(&mut self, wire: &mut Wire, message: Request) -> Option<()> {
-        let mut replies = Vec::new();
-        let outcome = tokio::task::block_in_place(|| self.step_extended(message, &mut replies));
-        let failed = outcome.is_err();
-        if let Err(error) = outcome {
-            self.fail();
-            replies.push(error.into_message());
-        }
-        for reply in replies {
-            wire.feed(reply).await.ok()?;
-        }
-        if failed {
-            wire.flush().await.ok()?;
-            while !matches!(wire.next().await?.ok()?, Request::Sync(_)) {}
-            wire.send(self.ready()).await.ok()?;
-        }
-        Some(())
-    }
-
-    fn step_extended(
-        &mut self,
-        message: Request,
-        replies: &mut Vec<Reply>,
-    ) -> Result<(), SqlError> {
-        match message {
-            Request::Parse(parse) => self.parse(parse, replies),
-            Request::Bind(bind) => self.bind(bind, replies),
-            Request::Describe(describe) => {
-                let name = describe.name.unwrap_or_default();
-                match describe.target_type {
-                    b'S' => self.describe_statement(&name, replies),
-                    _ => self.describe_portal(&name, replies),
-                }
-            }
-            Request::Execute(execute) => {
-                let name = execute.name.unwrap_or_default();
-                let portal = self.portals.get(&name).ok_or_else(|| unknown_name(&name))?;
-                let Some(statement) = portal.statement.clone() else {
-                    replies.push(Reply::EmptyQueryResponse(EmptyQueryResponse::new()));
-                    return Ok(());
-                };
-                let (values, formats) = (portal.values.clone(), portal.formats.clone());
-                self.execute(&statement, &values, &formats, false, replies)
-            }
-            Request::Close(close) => {
-                let name = close.name.unwrap_or_default();
-                match close.target_type {
-                    b'S' => drop(self.prepared.remove(&name)),
-                    _ => drop(self.portals.remove(&name)),
-                }
-                replies.push(Reply::CloseComplete(CloseComplete::new()));
-                Ok(())
-            }
-            _ => Err(SqlError::new(
-                sql_state::NOT_SUPPORTED,
-                "message is not supported by this member",
-            )),
-        }
-    }
-
-    fn parse(&mut self, parse: Parse, replies: &mut Vec<Reply>) -> Result<(), SqlError> {
-        let mut statements = statement::parse(&parse.query)?;
-        if statements.len() > 1 {
-            return Err(SqlError::new(
-                sql_state::SYNTAX_ERROR,
-                "cannot insert multiple commands into a prepared statement",
-            ));
-        }
-        let prepared = Prepared { statement: statements.pop(), type_oids: parse.type_oids };
-        self.prepared.insert(parse.name.unwrap_or_default(), prepared);
-        replies.push(Reply::ParseComplete(ParseComplete::new()));
-        Ok(())
-    }
-
-    fn bind(&mut self, bind: Bind, replies: &mut Vec<Reply>) -> Result<(), SqlError> {
-        let name = bind.statement_name.unwrap_or_default();
-        let prepared = self.prepared.get(&name).ok_or_else(|| unknown_name(&name))?;
-        let decode = |(index, bytes): (usize, &Option<bytes::Bytes>)| {
-            let format = match bind.parameter_format_codes.as_slice() {
-                [] => 0,
-                [all] => *all,
-                each => each.get(index).copied().unwrap_or(0),
-            };
-            let oid = prepared.type_oids.get(index).copied().unwrap_or(0);
-            decode_parameter(bytes.as_deref(), format, oid)
-        };
-        let values = bind.parameters.iter().enumerate().map(decode).collect();
-        let portal = Portal {
-            statement: prepared.statement.clone(),
-            values,
-            formats: bind.result_column_format_codes,
-        };
-        self.portals.insert(bind.portal_name.unwrap_or_default(), portal);
-        replies.push(Reply::BindComplete(BindComplete::new()));
-        Ok(())
-    }
-
-    fn describe_statement(&mut self, name: &str, replies: &mut Vec<Reply>) -> Result<(), SqlError> {
-        self.check_data()?;
-        let prepared = self.prepared.get(name).ok_or_else(|| unknown_name(name))?;
-        let types = match &prepared.statement {
-            Some(statement) => parameter_types(&self.connection, statement, &prepared.type_oids)?,
-            None => Vec::new(),
-        };
-        replies.push(Reply::ParameterDescription(ParameterDescription::new(types)));
-        replies.push(describe_columns(&self.connection, prepared.statement.as_ref(), &[])?);
-        Ok(())
-    }
-
-    fn describe_portal(&mut self, name: &str, replies: &mut Vec<Reply>) -> Result<(), SqlError> {
-        self.check_data()?;
-        let portal = self.portals.get(name).ok_or_else(|| unknown_name(name))?;
-        let statement = portal.statement.as_ref();
-        replies.push(describe_columns(&self.connection, statement, &portal.formats)?);
-        Ok(())
-    }
-
     fn run_simple(&mut self, sql: &str) -> Vec<Reply> {
         let mut replies = Vec::new();
         if let Err(error) = self.run_statements(sql, &mut replies) {
@@ -470,102 +332,6 @@
         Ok(count)
     }
 
-    fn begin(&mut self, is_explicit: bool, may_write: bool) -> Result<(), SqlError> {
-        if let Some(open) = self.transaction.as_mut() {
-            open.is_explicit |= is_explicit;
-            return Ok(());
-        }
-        self.check_data()?;
-        let may_write = may_write && self.enter_write(is_explicit)?;
-        let sql = if may_write { "BEGIN IMMEDIATE" } else { "BEGIN" };
-        if let Err(error) = self.connection.execute_batch(sql) {
-            if may_write {
-                lock(&self.member.core).open_writes -= 1;
-            }
-            return Err(to_sql_error(error));
-        }
-        let term = lock(&self.member.core).accepted_term();
-        self.transaction =
-            Some(OpenTransaction { is_explicit, writes: may_write.then(Vec::new), term });
-        Ok(())
-    }
-
-    /// Counts a transaction that writes; a block on a replica is opened for reading only.
-    fn enter_write(&self, is_explicit: bool) -> Result<bool, SqlError> {
-        let mut core = lock(&self.member.core);
-        if core.is_primary() && !core.is_stepping_down {
-            core.open_writes += 1;
-            return Ok(true);
-        }
-        if is_explicit && !core.is_primary() {
-            return Ok(false);
-        }
-        Err(read_only())
-    }
-
-    fn end_implicit(&mut self, replies: &mut Vec<Reply>) -> Result<(), SqlError> {
-        match &self.transaction {
-            Some(open) if !open.is_explicit => self.commit(replies),
-            _ => Ok(()),
-        }
-    }
-
-    fn commit(&mut self, replies: &mut Vec<Reply>) -> Result<(), SqlError> {
-        let Some(open) = self.transaction.take() else {
-            return Ok(());
-        };
-        let Some(writes) = open.writes else {
-            return self.connection.execute_batch("COMMIT").map_err(to_sql_error);
-        };
-        let mut core = lock(&self.member.core);
-        core.open_writes -= 1;
-        let is_current = core.is_primary()
-            && core.accepted_term() == open.term
-            && core.data_generation == self.data_generation;
-        if !is_current {
-            let _ = self.connection.execute_batch("ROLLBACK");
-            return Err(SqlError::new(
-                sql_state::SERIALIZATION_FAILURE,
-                "the member is no longer primary; the transaction was rolled back",
-            ));
-        }
-        if let Err(error) = self.connection.execute_batch("COMMIT") {
-            let _ = self.connection.execute_batch("ROLLBACK");
-            return Err(to_sql_error(error));
-        }
-        if writes.is_empty() {
-            return Ok(());
-        }
-        let position = core.append_own(writes);
-        drop(core);
-        self.member.changed.notify_waiters();
-        let value = format!("{}/{position}", open.term);
-        let status = ParameterStatus::new(COMMIT_PARAMETER.to_owned(), value);
-        replies.push(Reply::ParameterStatus(status));
-        Ok(())
-    }
-
-    fn rollback(&mut self) -> String {
-        self.abandon();
-        self.is_failed = false;
-        "ROLLBACK".to_owned()
-    }
-
-    fn fail(&mut self) {
-        let is_explicit = self.transaction.as_ref().is_some_and(|open| open.is_explicit);
-        self.abandon();
-        self.is_failed = is_explicit || self.is_failed;
-    }
-
-    fn abandon(&mut self) {
-        if let Some(open) = self.transaction.take() {
-            let _ = self.connection.execute_batch("ROLLBACK");
-            if open.writes.is_some() {
-                lock(&self.member.core).open_writes -= 1;
-            }
-        }
-    }
-
     /// Ends the session's use of data that the member has since made anew.
     fn check_data(&mut self) -> Result<(), SqlError> {
         if lock(&self.member.core).data_generation == self.data_generation {
@@ -605,49 +371,6 @@
     })
 }
 
-fn parameter_types(
-    connection: &Connection,
-    statement: &MemberStatement,
-    declared: &[u32],
-) -> Result<Vec<u32>, SqlError> {
-    let prepared = connection.prepare_cached(&statement.sql).map_err(to_sql_error)?;
-    let count = prepared.parameter_count().max(declared.len());
-    let type_of = |index: usize| match declared.get(index) {
-        None | Some(0) => result_set::TEXT_OID,
-        Some(oid) => *oid,
-    };
-    Ok((0..count).map(type_of).collect())
-}
-
-fn describe_columns(
-    connection: &Connection,
-    statement: Option<&MemberStatement>,
-    formats: &[i16],
-) -> Result<Reply, SqlError> {
-    let Some(statement) = statement else {
-        return Ok(Reply::NoData(NoData::new()));
-    };
-    let columns = match statement.kind {
-        StatementKind::Read | StatementKind::Write(_) => {
-            let prepared = connection.prepare_cached(&statement.sql).map_err(to_sql_error)?;
-            result_set::describe(&prepared, formats)
-        }
-        StatementKind::Control(_) => status_columns(),
-        _ => Vec::new(),
-    };
-    Ok(match columns.is_empty() {
-        true => Reply::NoData(NoData::new()),
-        false => result_set::row_description(&columns),
-    })
-}
-
-fn unknown_name(name: &str) -> SqlError {
-    SqlError::new(
-        sql_state::UNKNOWN_STATEMENT,
-        format!("prepared statement \"{name}\" does not exist"),
-    )
-}
-
 fn read_only() -> SqlError {
     SqlError::new(
         sql_state::READ_ONLY,
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -3,4 +3,4 @@
 pub mod cancel_registry;
 pub mod context;
 pub mod snapshot;
-pub mod standing_clock;
+pub mod token;
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -11,10 +11,10 @@
 use super::cancel_registry::CancelKey;
 use super::cancel_registry::CancelRegistry;
 use super::snapshot::Snapshot;
-use super::standing_clock::StandingClock;
-use crate::caller::token::TokenSigner;
 use crate::group::access::AccessTable;
 use crate::limit::rate_limiter::RateLimiter;
+use crate::limit::standing_clock::StandingClock;
+use crate::traffic::token::TokenSigner;
 
 /// Passes cancel requests on to the daemon whose connection they are for.
 #[async_trait]
--- a/src/caller/token.rs
+++ b/src/traffic/token.rs
@@ -1,14 +1,12 @@
 //! Tokens by which a session carries what it has written to another connection.
 
-use std::collections::BTreeMap;
-
 use hmac::Hmac;
 use hmac::Mac;
 use serde::Deserialize;
 use serde::Serialize;
 use sha2::Sha256;
 
-use crate::group::log_position::LogPosition;
+use snipehead_core::session_floors::SessionFloors;
 
 /// What a session has written, by group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,7 +14,7 @@
     /// Workspace that the token is for.
     pub workspace: String,
     /// Last place that the session wrote in each group.
-    pub floors: BTreeMap<String, LogPosition>,
+    pub floors: SessionFloors,
 }
 
 /// Signs and checks tokens. All daemons of a fleet share the secret.
