Judge a lapsed lease by the store's clock

Cause: a taker counted a lease's validity from its own first sight of the record. Whoever started, or heard of the store again after an outage, waited 3.7 s for owners that had been gone longer.

Change: each answer of the store tells its steady clock. A process keeps an upper and a lower bound of it (store_clock.rs), a holder records the upper bound at sending, a taker acts when the lower bound is past that by the validity and the margin, or by sight as before. Readers pass the bounds on with their news. Records without the field are judged by sight.

Ruled out: a shorter lease, which an outage of three seconds would end; the time of day, which jumps.

--- a/core/src/knowledge.rs
+++ b/core/src/knowledge.rs
@@ -27,6 +27,7 @@
 use crate::store::Record;
 use crate::store::StoreError;
 use crate::store::WriteOutcome;
+use crate::store_clock::ClockReading;
 use crate::sync::lock;
 
 /// Time between two rounds: a change must be in force within a few seconds, and the proof of its
@@ -162,6 +163,11 @@
         Some(configuration) => learn_configuration(node, configuration, proven_at_ms),
         None => node.configuration.confirm(version, proven_at_ms),
     }
+    if let Some((at_most_ms, at_least_ms)) = news.store_clock_ms {
+        let received_at_ms = heard_at_ms;
+        let reading = ClockReading { sent_at_ms, received_at_ms, at_most_ms, at_least_ms };
+        lock(&node.book).note_store_clock(&reading);
+    }
     for record in news.nodes.unwrap_or_default() {
         lock(&node.nodes).insert(record.name.clone(), record);
     }
@@ -256,6 +262,7 @@
 
 fn learn_records(node: &Node, records: &[Record], sent_at_ms: u64) {
     let now_ms = now_ms();
+    node.note_store_clock();
     for record in records {
         if let Some(service) = record.key.strip_prefix(LEASE_PREFIX) {
             match serde_json::from_slice::<LeaseRecord>(&record.value) {
@@ -347,6 +354,7 @@
             (Some(theirs), Some(entries)) if theirs != digest(&*entries) => Some(entries.to_vec()),
             _ => None,
         };
+        let store_clock_ms = lock(&self.book).store_clock_ms(now_ms());
         let has_new_configuration = ask.configuration != digest(&*known.configuration);
         Some(News {
             proof_age_ms: now_ms().saturating_sub(known.proven_at_ms),
@@ -354,6 +362,7 @@
             owners: has_new_owners.then(|| self.directory.owners()),
             nodes: has_new_owners.then(|| node_records(self)),
             members: new_members,
+            store_clock_ms,
             leases: match ask.wants_leases {
                 true => lock(&self.book).seen(now_ms()),
                 false => Vec::new(),
--- a/core/src/lease_book.rs
+++ b/core/src/lease_book.rs
@@ -2,8 +2,9 @@
 //!
 //! A lease is a record in the store that its holder renews under a condition. The holder counts
 //! from the moment at which it sent the renewal; a taker counts from the moment at which it first
-//! saw the record's present version. Both use a clock that counts suspended time, so a taker never
-//! overlaps with a holder that checks before it acts.
+//! saw the record's present version, or from the latest moment by the store's clock at which the
+//! record can have been sent, whichever lets it act sooner. Clocks count suspended time, so a taker
+//! never overlaps with a holder that checks before it acts.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -13,6 +14,8 @@
 use serde::Serialize;
 
 use crate::name::Name;
+use crate::store_clock::ClockReading;
+use crate::store_clock::StoreClock;
 
 /// Validity of a lease after its renewal was sent, in milliseconds: outlasts an outage of the store
 /// of nearly three seconds, and bounds how long a service waits when its owner goes dark.
@@ -61,6 +64,9 @@
     pub heir: Option<Name>,
     /// Member whose promotion has been ordered and is not known to be over.
     pub pending_promotion: Option<Name>,
+    /// What the store's clock showed at most when the record was sent, in milliseconds.
+    #[serde(default)]
+    pub sent_at_store_ms: Option<u64>,
 }
 
 /// A lease, with the time for which its record has not changed.
@@ -125,12 +131,23 @@
     me: Identity,
     leases: HashMap<Name, Lease>,
     next_renewal: u64,
+    store_clock: StoreClock,
 }
 
 impl LeaseBook {
     /// Creates a book that knows no lease.
     pub fn new(me: Identity) -> Self {
-        Self { me, leases: HashMap::new(), next_renewal: 1 }
+        Self { me, leases: HashMap::new(), next_renewal: 1, store_clock: StoreClock::default() }
+    }
+
+    /// Takes note of a reading of the store's clock.
+    pub fn note_store_clock(&mut self, reading: &ClockReading) {
+        self.store_clock.note(reading);
+    }
+
+    /// Returns what the store's clock shows at most and at least, in milliseconds.
+    pub fn store_clock_ms(&self, now_ms: u64) -> Option<(u64, u64)> {
+        Some((self.store_clock.at_most_ms(now_ms)?, self.store_clock.at_least_ms(now_ms)?))
     }
 
     /// Takes note of a record whose present version has been known since `now_ms`.
@@ -218,7 +235,10 @@
             _ if lease.is_offered => true,
             // The holder may have renewed it since.
             _ if now_ms > lease.heard_at_ms + HEARSAY_LIMIT_MS => false,
-            record => now_ms >= lease.seen_at_ms + self.delay_ms(record.as_ref(), rank(service)?),
+            record => {
+                let free_at_ms = self.free_at_ms(now_ms, lease, record.as_ref());
+                now_ms >= free_at_ms + self.delay_ms(record.as_ref(), rank(service)?)
+            }
         };
         may_write.then(|| self.write(now_ms, service, false, None)).flatten()
     }
@@ -234,10 +254,31 @@
                 Some(_) => HEIR_DELAY_MS + by_rank_ms,
                 None => by_rank_ms,
             },
-            Some(_) => LEASE_MS + TAKEOVER_MARGIN_MS + by_rank_ms,
+            Some(_) => by_rank_ms,
+        }
+    }
+
+    /// Returns when candidates may start to write a lease, without the head start of others.
+    fn free_at_ms(&self, now_ms: u64, lease: &Lease, record: Option<&LeaseRecord>) -> u64 {
+        let Some(record) = record else { return lease.seen_at_ms };
+        if record.is_released || record.address == self.me.address {
+            return lease.seen_at_ms;
+        }
+        let by_sight_ms = lease.seen_at_ms + LEASE_MS + TAKEOVER_MARGIN_MS;
+        match self.passed_lapse_ms(now_ms, record) {
+            Some(passed_ms) => {
+                by_sight_ms.min(now_ms.saturating_sub(passed_ms).max(lease.seen_at_ms))
+            }
+            None => by_sight_ms,
         }
     }
 
+    /// Returns for how long a lease has certainly lapsed by the store's clock, if it has.
+    fn passed_lapse_ms(&self, now_ms: u64, record: &LeaseRecord) -> Option<u64> {
+        let lapses_at_ms = record.sent_at_store_ms? + LEASE_MS + TAKEOVER_MARGIN_MS;
+        self.store_clock.at_least_ms(now_ms)?.checked_sub(lapses_at_ms)
+    }
+
     fn write(
         &mut self,
         now_ms: u64,
@@ -266,6 +307,7 @@
             is_released,
             heir,
             pending_promotion,
+            sent_at_store_ms: self.store_clock.at_most_ms(now_ms),
         };
         Some(LeaseWrite { service: service.clone(), record, expected: lease.version })
     }
@@ -367,6 +409,7 @@
         self.leases.get(service).is_none_or(|lease| {
             lease.record.as_ref().is_none_or(|record| record.is_released)
                 || now_ms > lease.seen_at_ms + LEASE_MS
+                || lease.record.as_ref().is_some_and(|r| self.passed_lapse_ms(now_ms, r).is_some())
         })
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod session_floors;
 pub mod statement;
 pub mod store;
+pub mod store_clock;
 pub mod sync;
 pub mod tenant_rates;
 pub mod token_bucket;
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -250,6 +250,13 @@
         }
     }
 
+    /// Takes note of what the last call told of the store's clock.
+    pub(crate) fn note_store_clock(&self) {
+        if let Some(reading) = self.border.store.clock_reading() {
+            lock(&self.book).note_store_clock(&reading);
+        }
+    }
+
     pub(crate) fn owned(&self, service: &str) -> Option<Arc<OwnedService>> {
         lock(&self.services).get(service).cloned()
     }
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -78,6 +78,7 @@
             () = tokio::time::sleep(LEASE_TICK) => {}
             () = node.lease_attention.notified() => {}
         }
+        node.note_store_clock();
         let services = service_names(&node);
         let loads = lock(&node.book).load();
         let rank = |service: &Name| rank(&node, service, &loads);
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -186,6 +186,8 @@
     pub nodes: Option<Vec<NodeRecord>>,
     /// The list of members, if it differs.
     pub members: Option<Vec<MemberEntry>>,
+    /// What the store's clock shows at most and at least, in milliseconds.
+    pub store_clock_ms: Option<(u64, u64)>,
     /// The leases, if they were asked for.
     pub leases: Vec<SeenLease>,
 }
--- a/core/src/store.rs
+++ b/core/src/store.rs
@@ -5,6 +5,7 @@
 use crate::configuration::Configuration;
 use crate::member::MemberEntry;
 use crate::name::Name;
+use crate::store_clock::ClockReading;
 
 /// A record of the system's own.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,6 +53,9 @@
 /// The platform's store: linearizable, and at times slow, away or forgetful of answers.
 #[async_trait]
 pub trait MetadataStore: Send + Sync {
+    /// Returns what the last answered call told of the store's clock.
+    fn clock_reading(&self) -> Option<ClockReading>;
+
     /// Reads the configuration as of one moment. `None` if there is none yet.
     ///
     /// # Errors
--- /dev/null
+++ b/core/src/store_clock.rs
@@ -0,0 +1,73 @@
+//! The store's steady clock, as far as one process knows it; free of input and output.
+//!
+//! All processes see the same clock of the store, so one of them can tell how long ago another one
+//! did something that it first hears of now.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Greatest difference of the speeds of two clocks, in milliseconds for each second: clocks of
+/// machines drift by a tenth of this at most.
+const DRIFT_MS_PER_S: u64 = 1;
+
+/// What one call tells of the store's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClockReading {
+    /// When the call was sent, by this process's clock, in milliseconds.
+    pub sent_at_ms: u64,
+    /// When the answer came, by this process's clock, in milliseconds.
+    pub received_at_ms: u64,
+    /// What the store's clock showed at most when the call was sent, in milliseconds.
+    pub at_most_ms: u64,
+    /// What the store's clock showed at least when the answer came, in milliseconds.
+    pub at_least_ms: u64,
+}
+
+/// A bound on the store's clock at a moment of this process's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Bound {
+    local_ms: u64,
+    store_ms: u64,
+}
+
+/// Bounds on what the store's clock shows.
+#[derive(Clone, Debug, Default)]
+pub struct StoreClock {
+    upper: Option<Bound>,
+    lower: Option<Bound>,
+}
+
+impl StoreClock {
+    /// Takes note of a call.
+    pub fn note(&mut self, reading: &ClockReading) {
+        let now_ms = reading.received_at_ms;
+        let upper = Bound { local_ms: reading.sent_at_ms, store_ms: reading.at_most_ms };
+        if self.upper.is_none_or(|known| latest(upper, now_ms) < latest(known, now_ms)) {
+            self.upper = Some(upper);
+        }
+        let lower = Bound { local_ms: reading.received_at_ms, store_ms: reading.at_least_ms };
+        if self.lower.is_none_or(|known| earliest(lower, now_ms) > earliest(known, now_ms)) {
+            self.lower = Some(lower);
+        }
+    }
+
+    /// Returns what the store's clock shows at most, in milliseconds.
+    pub fn at_most_ms(&self, now_ms: u64) -> Option<u64> {
+        self.upper.map(|bound| latest(bound, now_ms))
+    }
+
+    /// Returns what the store's clock shows at least, in milliseconds.
+    pub fn at_least_ms(&self, now_ms: u64) -> Option<u64> {
+        self.lower.map(|bound| earliest(bound, now_ms))
+    }
+}
+
+fn latest(bound: Bound, now_ms: u64) -> u64 {
+    let passed_ms = now_ms.saturating_sub(bound.local_ms);
+    bound.store_ms + passed_ms + passed_ms * DRIFT_MS_PER_S / 1_000
+}
+
+fn earliest(bound: Bound, now_ms: u64) -> u64 {
+    let passed_ms = now_ms.saturating_sub(bound.local_ms);
+    bound.store_ms + passed_ms - passed_ms * DRIFT_MS_PER_S / 1_000
+}
--- a/core/tests/core/leases.rs
+++ b/core/tests/core/leases.rs
@@ -8,6 +8,7 @@
 use snipehead_core::lease_book::LeaseRecord;
 use snipehead_core::lease_book::LeaseWrite;
 use snipehead_core::name::Name;
+use snipehead_core::store_clock::ClockReading;
 
 /// Time between two steps, in milliseconds.
 const STEP_MS: u64 = 50;
@@ -20,6 +21,13 @@
     }
 }
 
+/// Difference between the clocks of the store and of the processes, in milliseconds.
+const STORE_AHEAD_MS: u64 = 50_000;
+
+fn reading(sent_at_ms: u64, received_at_ms: u64, store_ms: u64) -> ClockReading {
+    ClockReading { sent_at_ms, received_at_ms, at_most_ms: store_ms, at_least_ms: store_ms }
+}
+
 /// What happens to a write on its way.
 #[derive(Clone, Copy, Debug)]
 enum Fate {
@@ -90,6 +98,10 @@
                     continue;
                 }
                 if reads[index] || index < 3 {
+                    // The answer took up to a second, and the store read its clock at any time of it.
+                    let took_ms = (index as u64 * 37) % 900;
+                    let store_ms = now_ms + STORE_AHEAD_MS - took_ms / (1 + index as u64 % 3);
+                    book.note_store_clock(&reading(now_ms - took_ms, now_ms, store_ms));
                     let version = if store.record.is_some() { store.version } else { 0 };
                     book.observe(now_ms, &service, store.record.clone(), version);
                     book.heard(now_ms, &service);
@@ -142,6 +154,7 @@
         is_released: false,
         heir: None,
         pending_promotion: None,
+        sent_at_store_ms: None,
     }
 }
 
@@ -166,6 +179,35 @@
     assert_eq!(book.due(1_300 + LEASE_MS, std::slice::from_ref(&service), |_| Some(0)).len(), 1);
 }
 
+/// After an outage of the store or a restart, owners that had ended long before were waited for
+/// as if they had just renewed: 3.7 s.
+#[test]
+fn a_lease_that_lapsed_before_it_was_first_seen_is_taken_at_once() {
+    let service: Name = "dispatch".into();
+    let mut book = LeaseBook::new(identity(1));
+    book.note_store_clock(&reading(990, 1_000, 60_000));
+    let mut old = record(0, 5);
+    old.sent_at_store_ms = Some(55_000);
+    book.observe(1_000, &service, Some(old), 12);
+    book.heard(1_000, &service);
+    assert_eq!(book.due(1_000, std::slice::from_ref(&service), |_| Some(0)).len(), 1);
+    assert!(book.due(1_100, std::slice::from_ref(&service), |_| Some(1)).is_empty());
+}
+
+#[test]
+fn a_lease_that_may_still_hold_by_the_stores_clock_is_waited_for() {
+    let service: Name = "dispatch".into();
+    let mut book = LeaseBook::new(identity(1));
+    book.note_store_clock(&reading(990, 1_000, 60_000));
+    let mut recent = record(0, 5);
+    recent.sent_at_store_ms = Some(58_000);
+    book.observe(1_000, &service, Some(recent), 12);
+    book.heard(2_600, &service);
+    assert!(book.due(2_600, std::slice::from_ref(&service), |_| Some(0)).is_empty());
+    book.heard(2_720, &service);
+    assert_eq!(book.due(2_720, std::slice::from_ref(&service), |_| Some(0)).len(), 1);
+}
+
 /// On the site of 68 machines nodes that no longer read leases tried to take them each few seconds.
 #[test]
 fn a_process_that_has_not_seen_the_lease_lately_takes_nothing() {
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -9,3 +9,4 @@
 mod rates;
 mod session_rules;
 mod stand_in;
+mod store_clocks;
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -11,6 +11,7 @@
 
 use async_trait::async_trait;
 
+use snipehead_core::clock::now_ms;
 use snipehead_core::configuration::Configuration;
 use snipehead_core::log_position::LogPosition;
 use snipehead_core::member::MemberCommand;
@@ -31,6 +32,10 @@
 use snipehead_core::store::Record;
 use snipehead_core::store::StoreError;
 use snipehead_core::store::WriteOutcome;
+use snipehead_core::store_clock::ClockReading;
+
+/// Difference between the clocks of the store and of the nodes, in milliseconds.
+const STORE_AHEAD_MS: u64 = 9_000;
 
 #[derive(Default)]
 struct StoreState {
@@ -72,6 +77,20 @@
 
 #[async_trait]
 impl MetadataStore for StandInStore {
+    fn clock_reading(&self) -> Option<ClockReading> {
+        if self.is_down.load(Ordering::Acquire) {
+            return None;
+        }
+        let now_ms = now_ms();
+        let store_ms = now_ms + STORE_AHEAD_MS;
+        Some(ClockReading {
+            sent_at_ms: now_ms,
+            received_at_ms: now_ms,
+            at_most_ms: store_ms,
+            at_least_ms: store_ms,
+        })
+    }
+
     async fn read_configuration(&self) -> Result<Option<Configuration>, StoreError> {
         Ok(Some(self.state()?.configuration.clone()))
     }
