Give services away while a node owns more than others

Cause: nothing moved ownership back after it had gathered.

Change: a node that owns two services more than another, settled, offers one to it after asking how many it owns (balance.rs decides, relief.rs asks). Heirs are chosen by the service unless the owner stops, so that owners which lose the store at once choose different ones.

Test: a host with two services gives one to a host with none, seen failing.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! statements to it ([`relay`]). Protocols meet this crate through the traits in [`member`] and
 //! [`store`].
 
+pub mod balance;
 pub mod clock;
 pub mod commit_history;
 pub mod configuration;
@@ -28,6 +29,7 @@
 pub mod ownership;
 mod rate_broker;
 pub mod relay;
+mod relief;
 pub mod service;
 pub mod session;
 pub mod session_floors;
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -247,6 +247,7 @@
             proof_age_ms: self.configuration_age_ms(),
             uptime_ms: now_ms().saturating_sub(self.started_at_ms),
             is_stopping: self.is_stopping(),
+            owned: lock(&self.book).held_services().len() as u64,
         }
     }
 
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::now_ms;
 use crate::directory::Owner;
@@ -26,6 +27,7 @@
 use crate::outcome::Failure;
 use crate::relay::LeaseOffer;
 use crate::relay::PeerReport;
+use crate::relief;
 use crate::service::OwnedService;
 use crate::service::OwnerNode;
 use crate::service::ServiceBorder;
@@ -69,6 +71,7 @@
 pub fn start(node: &Arc<Node>) {
     node.tasks.spawn(knowledge::keep_informed(node.clone()));
     node.tasks.spawn(keep_leases(node.clone()));
+    node.tasks.spawn(relief::keep_balanced(node.clone()));
 }
 
 async fn keep_leases(node: Arc<Node>) {
@@ -235,16 +238,17 @@
         let node = node.clone();
         node.tasks.clone().spawn(async move {
             // A store that is away for all leaves nobody to give the service to.
-            if let Some(heir) = find_heir(&node).await {
+            if let Some(heir) = find_heir(&node, &service).await {
                 hand_over(&node, &service, Some(heir), "the store is out of reach").await;
             }
         });
     }
 }
 
-/// Returns the node that should take a service: the store answers it, it owns least, and it has
-/// started last, so that a rolling restart does not reach it next.
-async fn find_heir(node: &Node) -> Option<Name> {
+/// Returns the node that should take a service: the store answers it, and it owns least. Of several,
+/// a node that stops prefers the one that has started last, which a rolling restart does not reach
+/// next; other owners, which may all have lost the store at once, choose one by the service.
+async fn find_heir(node: &Node, service: &Name) -> Option<Name> {
     let me = node.settings.identity.node.clone();
     let others: Vec<NodeRecord> =
         lock(&node.nodes).values().filter(|record| record.name != me).cloned().collect();
@@ -258,8 +262,12 @@
     let mut fit: Vec<(NodeRecord, PeerReport)> =
         reports.into_iter().filter(|(_, report)| !report.is_stopping).collect();
     fit.sort_by_key(|(record, report)| {
-        let load = loads.get(&record.name).copied().unwrap_or(0);
-        (report.proof_age_ms.is_none_or(|age_ms| age_ms > HEIR_PROOF_MS), load, report.uptime_ms)
+        let load = loads.get(&record.name).copied().unwrap_or(0).max(report.owned);
+        let order = match node.is_stopping() {
+            true => report.uptime_ms,
+            false => xxh3_64(format!("{service}/{}", record.name).as_bytes()),
+        };
+        (report.proof_age_ms.is_none_or(|age_ms| age_ms > HEIR_PROOF_MS), load, order)
     });
     fit.truncate(HEIR_CANDIDATES);
     let asking = fit.into_iter().map(|(record, _)| async move {
@@ -279,7 +287,7 @@
     }
     let heir = match heir {
         Some(heir) => Some(heir),
-        None => find_heir(node).await,
+        None => find_heir(node, service).await,
     };
     log::info!(
         event = "handover_started", service = &**service, reason = reason,
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -158,6 +158,8 @@
     pub uptime_ms: u64,
     /// Whether it is about to stop.
     pub is_stopping: bool,
+    /// How many services it owns, or is about to.
+    pub owned: u64,
 }
 
 /// What a node knows already, when it asks another for news.
--- /dev/null
+++ b/core/src/relief.rs
@@ -0,0 +1,80 @@
+//! Gives services away while this node owns more than others.
+//!
+//! Ownership gathers where owners failed over to, and after a restart each node takes back what it
+//! had. An owner of several busy services answers late, and others take it for lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::balance::candidates;
+use crate::balance::is_uneven;
+use crate::clock::now_ms;
+use crate::name::Name;
+use crate::node::Node;
+use crate::service::OwnedService;
+use crate::sync::lock;
+
+/// Shortest time between two looks, in milliseconds: the news of a move have reached others.
+const INTERVAL_MS: u64 = 1_000;
+
+/// Random part of the time between two looks, in milliseconds, so that two nodes seldom choose the
+/// same one at the same moment.
+const JITTER_MS: u64 = 1_000;
+
+/// Greatest age of the proof of a configuration for a node that should take a service, in
+/// milliseconds: it has just heard of the store.
+const PROOF_LIMIT_MS: u64 = 1_500;
+
+/// Offers a service to a node that owns fewer, again and again.
+pub(crate) async fn keep_balanced(node: Arc<Node>) {
+    let me = node.settings.identity.node.clone();
+    for round in 0_u64.. {
+        let jitter_ms = xxh3_64(format!("{me}/{round}").as_bytes()) % JITTER_MS;
+        tokio::select! {
+            () = node.stop.cancelled() => return,
+            () = tokio::time::sleep(Duration::from_millis(INTERVAL_MS + jitter_ms)) => {}
+        }
+        if node.is_stopping() || node.configuration_age_ms().is_none_or(|age| age > PROOF_LIMIT_MS)
+        {
+            continue;
+        }
+        if let Some(service) = settled_service(&node)
+            && let Some(heir) = find_relief(&node, round).await
+        {
+            service.ask_to_leave(Some(heir), "this node owns more than others");
+        }
+    }
+}
+
+/// Returns the service that is moved most easily, if this node has several.
+fn settled_service(node: &Node) -> Option<Arc<OwnedService>> {
+    let now_ms = now_ms();
+    let services = lock(&node.services);
+    if services.len() < 2 {
+        return None;
+    }
+    let settled = services.values().filter(|service| service.is_settled(now_ms));
+    settled.min_by_key(|service| service.transactions()).cloned()
+}
+
+async fn find_relief(node: &Node, round: u64) -> Option<Name> {
+    let me = &node.settings.identity.node;
+    let mine = lock(&node.services).len() as u64;
+    let names: Vec<Name> = lock(&node.nodes).keys().cloned().collect();
+    let mut loads = lock(&node.book).load();
+    loads.insert(me.clone(), mine);
+    for name in candidates(me, &names, &loads, round) {
+        let Some(address) = lock(&node.nodes).get(&name).map(|record| record.address) else {
+            continue;
+        };
+        let Ok(report) = node.peers.report(address).await else { continue };
+        let is_informed = report.proof_age_ms.is_some_and(|age_ms| age_ms < PROOF_LIMIT_MS);
+        let is_fit = is_informed && !report.is_stopping && is_uneven(mine, report.owned);
+        if is_fit && node.peers.reaches_store(address).await == Ok(true) {
+            return Some(name);
+        }
+    }
+    None
+}
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -43,6 +43,10 @@
 use crate::tenant_rates::TenantRates;
 use crate::tenant_rates::TokenGrant;
 
+/// Time for which a service is owned before it may be moved without need, in milliseconds: members
+/// are probed and connections are open by then.
+const SETTLE_MS: u64 = 1_000;
+
 /// Time between two attempts to give a service away, in milliseconds.
 const OFFER_INTERVAL_MS: u64 = 500;
 
@@ -109,6 +113,7 @@
     name: Name,
     border: ServiceBorder,
     fencing_token: u64,
+    started_at_ms: u64,
     valid_until_ms: AtomicU64,
     is_closing: AtomicBool,
     is_handing_over: AtomicBool,
@@ -144,6 +149,7 @@
         let service = Arc::new(Self {
             name,
             fencing_token,
+            started_at_ms: now_ms(),
             valid_until_ms: AtomicU64::new(valid_until_ms),
             is_closing: AtomicBool::new(false),
             is_handing_over: AtomicBool::new(false),
@@ -207,6 +213,15 @@
         self.is_valid() && !self.is_closing.load(Ordering::Acquire)
     }
 
+    /// Returns whether the service runs well here, so that it may be moved.
+    pub fn is_settled(&self, now_ms: u64) -> bool {
+        let is_young = now_ms < self.started_at_ms + SETTLE_MS;
+        !is_young
+            && self.is_open()
+            && !self.is_handing_over()
+            && lock(&self.pool).primary().is_some()
+    }
+
     /// Returns whether the service is being given away.
     pub fn is_handing_over(&self) -> bool {
         self.is_handing_over.load(Ordering::Acquire)
--- /dev/null
+++ b/core/tests/core/balances.rs
@@ -0,0 +1,30 @@
+//! Which nodes are asked to take a service.
+
+use std::collections::HashMap;
+
+use snipehead_core::balance::candidates;
+use snipehead_core::balance::is_uneven;
+use snipehead_core::name::Name;
+
+fn names(count: u64) -> Vec<Name> {
+    (0..count).map(|number| format!("host-{number}").into()).collect()
+}
+
+#[test]
+fn a_move_that_would_be_moved_back_is_not_made() {
+    assert!(!is_uneven(1, 0));
+    assert!(!is_uneven(2, 1));
+    assert!(is_uneven(2, 0));
+    assert!(is_uneven(3, 1));
+}
+
+#[test]
+fn nodes_with_least_are_asked_first_and_others_in_the_next_round() {
+    let nodes = names(20);
+    let loads: HashMap<Name, u64> = (0..10).map(|n| (nodes[n].clone(), n as u64 % 3 + 1)).collect();
+    let asked = |round| candidates(&nodes[2], &nodes, &loads, round);
+    assert_eq!(asked(0).len(), 3);
+    assert!(asked(0).iter().all(|name| !loads.contains_key(name)));
+    assert_ne!(asked(0), asked(1));
+    assert!(candidates(&nodes[0], &nodes, &loads, 0).is_empty());
+}
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the core, without any protocol of callers, members or the platform.
 
+mod balances;
 mod commit_histories;
 mod configurations;
 mod failovers;
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -13,6 +13,7 @@
 use crate::scene::failure;
 use crate::scene::run;
 use crate::stand_in::Fate;
+use snipehead_core::configuration::ServiceLimits;
 use snipehead_core::configuration::Tenant;
 use snipehead_core::outcome::BlockState;
 use snipehead_core::outcome::Failure;
@@ -46,6 +47,28 @@
     assert_eq!(scene.store.whole_reads.load(Ordering::Acquire), before);
 }
 
+/// On the grown site of Tizi a node with three of eight services answered late to the day's end.
+#[tokio::test]
+async fn a_host_with_several_services_gives_some_to_hosts_with_none() {
+    let mut scene = Scene::start(1).await;
+    scene.store.change(|configuration| {
+        let limits = ServiceLimits { name: "empty".into(), max_connections: 9, cold_per_s: 0.0 };
+        configuration.services.insert("empty".into(), Arc::new(limits));
+    });
+    let started = Instant::now();
+    while !scene.hosts[0].node.render_metrics().contains("{service=\"empty\"}") {
+        assert!(started.elapsed() < PATIENCE, "nobody owns the other service");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    scene.add_host().await;
+    while scene.owner() != Some(1) {
+        assert!(started.elapsed() < PATIENCE, "one host keeps all services");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let mut session = scene.open(0, "bookings");
+    run(&mut session, "w1", "STORE a 1").await.expect("written by way of the new owner");
+}
+
 #[tokio::test]
 async fn a_write_whose_answer_is_lost_is_in_doubt_and_not_repeated() {
     let scene = Scene::start(1).await;
