Ask a store that is away once a second, but for the reader

Cause: while the store was away each node called it three times in each round of 200 ms: 1,080 calls a second from 72 nodes, 8,500 from 570, more than the store takes.

Change: the configuration is read first, and nothing else if it fails; after a failure only the reader tries in each round, others hear of the store from it and try themselves once a second.

Ruled out: a backoff for all, which would also delay hearing that the store is back.

--- a/core/src/knowledge.rs
+++ b/core/src/knowledge.rs
@@ -38,6 +38,11 @@
 /// Time between two rounds while an owner is missing, and after a failed one.
 const URGENT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two tries of a node to read the store after one that failed, in milliseconds. The
+/// reader tries in each round, and others hear of it there: all together would keep a store from
+/// coming back.
+const STORE_RETRY_MS: u64 = 1_000;
+
 /// Greatest age of the reader's knowledge with which it counts, in milliseconds: beyond, the
 /// reader has lost the store.
 const NEWS_AGE_LIMIT_MS: u64 = 1_500;
@@ -63,6 +68,7 @@
     let mut is_announced = false;
     let mut has_failed = false;
     let mut start_rounds = START_ROUNDS;
+    let mut retry_at_ms = 0;
     loop {
         let started_at_ms = now_ms();
         if !is_announced && start_rounds > 0 && !find_reader(&node).await {
@@ -73,7 +79,8 @@
         }
         let mut is_informed = is_announced && ask_reader(&node).await;
         start_rounds = if is_informed { 0 } else { start_rounds.saturating_sub(1) };
-        if !is_informed && start_rounds == 0 {
+        let may_read = reader(&node).is_none() || started_at_ms >= retry_at_ms;
+        if !is_informed && start_rounds == 0 && may_read {
             match read_store(&node, &mut is_announced).await {
                 Ok(()) => {
                     is_informed = is_announced;
@@ -82,6 +89,7 @@
                     }
                 }
                 Err(error) => {
+                    retry_at_ms = now_ms() + STORE_RETRY_MS;
                     if !std::mem::replace(&mut has_failed, true) {
                         log::warn!(event = "store_lost", error = error.to_string(); "");
                     }
@@ -248,8 +256,11 @@
             false => Ok(None),
         }
     };
-    let (configuration, records, members) =
-        futures::join!(store.read_configuration(), read_own_records(node), reading_members);
+    let configuration = store.read_configuration().await;
+    if let Err(StoreError::NotDone(reason)) = configuration {
+        return Err(StoreError::NotDone(reason));
+    }
+    let (records, members) = futures::join!(read_own_records(node), reading_members);
     if let Ok(Some(configuration)) = &configuration {
         learn_configuration(node, configuration.clone(), sent_at_ms);
     }
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -47,6 +47,27 @@
     assert_eq!(scene.store.whole_reads.load(Ordering::Acquire), before);
 }
 
+/// 72 nodes called a store that was away 1,080 times a second.
+#[tokio::test]
+async fn a_store_that_is_away_is_asked_by_the_reader_and_seldom_by_others() {
+    let scene = Scene::start(4).await;
+    for host in 0..4 {
+        scene.wait_served(host).await;
+    }
+    scene.store.is_down.store(true, Ordering::Release);
+    // By then the reader's last news are too old for the others.
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let before = scene.store.configuration_reads.load(Ordering::Acquire);
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let calls = scene.store.configuration_reads.load(Ordering::Acquire) - before;
+    // The reader's rounds of 200 ms, and one read a second of each other node.
+    assert!(calls <= 11 + 3 * 3, "{calls} reads in two seconds");
+    scene.store.is_down.store(false, Ordering::Release);
+    let healed = Instant::now();
+    scene.wait_served(3).await;
+    assert!(healed.elapsed() < Duration::from_millis(1_500), "{:?}", healed.elapsed());
+}
+
 /// On the grown site of Tizi a node with three of eight services answered late to the day's end.
 #[tokio::test]
 async fn a_host_with_several_services_gives_some_to_hosts_with_none() {
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -53,6 +53,8 @@
     pub is_down: AtomicBool,
     /// How often all records were read.
     pub whole_reads: AtomicU64,
+    /// How often the configuration was asked for, answered or not.
+    pub configuration_reads: AtomicU64,
 }
 
 impl StandInStore {
@@ -94,6 +96,7 @@
     }
 
     async fn read_configuration(&self) -> Result<Option<Configuration>, StoreError> {
+        self.configuration_reads.fetch_add(1, Ordering::AcqRel);
         Ok(Some(self.state()?.configuration.clone()))
     }
 
