Wait for the primary once both replicas have said that they lag

Cause: after a handover or a promotion the new owner knows no ages of commits and asks replicas for the newest position. A replica that said that it lags is asked again after 100 ms; with the primary busy, the four tries of a statement went to the two replicas, and the read was refused as lagging though it had time.

Change: after two such answers a statement waits for the primary.

Ruled out: one node's store client (the store served all owners at that time); the bound of the hold (refused after 8 ms at the median).

Test: a read while the primary is busy and both replicas lag, seen failing.

--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -36,6 +36,9 @@
 /// Most members that are tried for one statement: each of three, and one again.
 const MAX_TRIES: u32 = 4;
 
+/// Replicas that may lag before a statement waits for the primary: both of three members.
+const LAGGING_LIMIT: u32 = 2;
+
 /// Pause before a member that was busy is asked again.
 const BUSY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -90,17 +93,20 @@
             return reply;
         }
         let mut except = None;
+        let mut lagging = 0;
         let mut refusal = Refusal::new(Failure::Busy, "no member could take it in time");
         for _ in 0..MAX_TRIES {
             if now_ms() >= running.hold_until_ms {
                 break;
             }
-            match self.try_new(&running, except.take()).await {
+            let needs_primary = lagging >= LAGGING_LIMIT;
+            match self.try_new(&running, except.take(), needs_primary).await {
                 Tried::Final(reply) => return reply,
                 Tried::Again { except: failed, refusal: latest } => {
                     if latest.failure == Failure::Busy {
                         tokio::time::sleep(BUSY_PAUSE).await;
                     }
+                    lagging += u32::from(latest.failure == Failure::Lagging);
                     except = failed;
                     refusal = latest;
                 }
@@ -124,7 +130,12 @@
     }
 
     /// Returns which member a statement needs, with the position that its log must include.
-    fn need(&self, call: &Call, except: Option<MemberKey>) -> Option<(Need, LogPosition)> {
+    fn need(
+        &self,
+        call: &Call,
+        except: Option<MemberKey>,
+        needs_primary: bool,
+    ) -> Option<(Need, LogPosition)> {
         let standing = lock(&self.standing);
         let history = standing.history.as_ref()?;
         let writes = match (&call.open, &call.step) {
@@ -133,7 +144,7 @@
             (None, _) => true,
         };
         let found = match call.need {
-            ReadNeed::AtMost { max_staleness_ms, floor } if !writes => {
+            ReadNeed::AtMost { max_staleness_ms, floor } if !writes && !needs_primary => {
                 let by_age = history.floor(now_ms(), max_staleness_ms);
                 let own = floor.map(|floor| history.translate(floor)).unwrap_or_default();
                 let floor = by_age.max(own);
@@ -144,9 +155,14 @@
         Some(found)
     }
 
-    async fn try_new(self: &Arc<Self>, running: &Running, except: Option<MemberKey>) -> Tried {
+    async fn try_new(
+        self: &Arc<Self>,
+        running: &Running,
+        except: Option<MemberKey>,
+        needs_primary: bool,
+    ) -> Tried {
         let call = &running.call;
-        let Some((need, floor)) = self.need(call, except) else {
+        let Some((need, floor)) = self.need(call, except, needs_primary) else {
             return self.wait_for_primary(running).await;
         };
         let request = SlotRequest {
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -194,6 +194,30 @@
     assert!(scene.group.ran("m1").contains(&"r1 FETCH a".to_owned()));
 }
 
+/// On koktem-lifts trouble-1 reads were refused as lagging while the primary was busy: replicas that
+/// had just said that they lag were asked again and again.
+#[tokio::test]
+async fn a_read_waits_for_a_busy_primary_when_all_replicas_lag() {
+    let scene = Scene::start(1).await;
+    for member in ["m2", "m3"] {
+        (0..8).for_each(|_| scene.group.give_fate(member, Fate::Refused(Failure::Lagging)));
+    }
+    scene.group.set_time("m1", 150);
+    let mut writers = Vec::new();
+    for number in 0..6 {
+        let mut session = scene.open(0, "bookings");
+        writers.push(tokio::spawn(async move {
+            run(&mut session, &format!("w{number}"), "STORE a 1").await.map(drop)
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let mut session = scene.open(0, "lookups");
+    run(&mut session, "r1", "FETCH a").await.expect("served by the primary");
+    for writer in writers {
+        writer.await.expect("it ends").expect("written");
+    }
+}
+
 #[tokio::test]
 async fn a_withdrawn_key_stops_working_on_an_open_session() {
     let scene = Scene::start(1).await;
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -162,6 +162,7 @@
     /// What the log includes at most; `None` for all.
     stuck_at: Option<LogPosition>,
     ran: Vec<String>,
+    takes_ms: u64,
     fates: Vec<Fate>,
 }
 
@@ -194,6 +195,7 @@
                 position: LogPosition::new(1, 0),
                 stuck_at: None,
                 ran: Vec::new(),
+                takes_ms: 1,
                 fates: Vec::new(),
             };
             (address, (entry, state))
@@ -257,6 +259,11 @@
         });
     }
 
+    /// Sets how long a member takes for each exchange.
+    pub fn set_time(&self, id: &str, takes_ms: u64) {
+        self.with(id, |member| member.takes_ms = takes_ms);
+    }
+
     pub fn give_fate(&self, id: &str, fate: Fate) {
         self.with(id, |member| member.fates.push(fate));
     }
@@ -432,7 +439,11 @@
         &mut self,
         commands: &[MemberCommand],
     ) -> Result<Vec<MemberReply>, MemberError> {
-        tokio::time::sleep(Duration::from_millis(1)).await;
+        let takes_ms = {
+            let members = self.group.members.lock().expect("no holder panics");
+            members[&self.address].1.takes_ms
+        };
+        tokio::time::sleep(Duration::from_millis(takes_ms)).await;
         commands.iter().map(|command| self.handle(command)).collect()
     }
 
