Use a promoted member only from its new term on

Cause: a primary that had been cut off and replaced was promoted again when its successor was lost.

Change: after an order the member must lead a newer term than any that was told or served; a member that leads an older term than the owner has served is not adopted.

Ruled out: two owners (one token throughout), the store's clock and relief, which took no part.

Open: a new owner that has not served the newest term and hears of it from no member cannot know that a former primary lost its own; the lease could record it.

Tests: a former primary serves only in a new term, and is not adopted in its old one; the first seen failing with the condition taken out.

--- a/core/src/failover.rs
+++ b/core/src/failover.rs
@@ -43,15 +43,18 @@
     Move(MemberKey),
 }
 
-/// Decides about the primary of a service. `known` is the primary in use, and `since_ms` the
-/// moment since which there has been none.
+/// Decides about the primary of a service. `known` is the primary in use,
+/// `without_primary_since_ms` the moment since which there has been none, and `served_term` the
+/// newest term that the owner has served: a member that leads an older one has been replaced.
 pub fn decide(
     now_ms: u64,
     known: Option<&MemberKey>,
     without_primary_since_ms: u64,
+    served_term: u64,
     members: &[MemberView],
 ) -> Decision {
-    let newest_term = members.iter().filter_map(|member| Some(member.status?.term)).max();
+    let told = members.iter().filter_map(|member| Some(member.status?.term));
+    let newest_term = told.chain([served_term]).max();
     let leader = members.iter().find(|member| {
         member.failing_since_ms.is_none()
             && member
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -131,7 +131,8 @@
             if known.is_some() {
                 without_primary_since_ms = now_ms();
             }
-            match decide(now_ms(), known.as_ref(), without_primary_since_ms, &views) {
+            let served = lock(&self.standing).history.as_ref().map_or(0, CommitHistory::term);
+            match decide(now_ms(), known.as_ref(), without_primary_since_ms, served, &views) {
                 Decision::Stay => self.drop_deposed(known.as_ref(), &views),
                 Decision::Adopt(leader) => self.adopt(&leader),
                 Decision::Replace(successor) => {
@@ -310,6 +311,8 @@
         former: Option<&MemberKey>,
         successor: &MemberKey,
     ) {
+        // A former primary may say that it leads until the order takes effect.
+        let former_term = self.newest_term();
         let recorded =
             self.border.node.record_promotion(&self.name, Some(successor.id.clone())).await;
         if !self.is_valid() {
@@ -320,7 +323,7 @@
             from = former.map_or("-", |former| &*former.id), token = self.fencing_token,
             is_recorded = recorded; ""
         );
-        let led = self.order_and_wait(links, successor).await;
+        let led = self.order_and_wait(links, successor, former_term + 1).await;
         if !led {
             return;
         }
@@ -332,7 +335,21 @@
         }
     }
 
-    async fn order_and_wait(&self, links: &mut ProbeLinks, successor: &MemberKey) -> bool {
+    /// Returns the newest term that any member has told, or that this owner has served.
+    fn newest_term(&self) -> u64 {
+        let served = lock(&self.standing).history.as_ref().map_or(0, CommitHistory::term);
+        let pool = lock(&self.pool);
+        let told = pool.members().values().filter_map(|member| Some(member.status?.term));
+        told.max().unwrap_or(0).max(served)
+    }
+
+    /// Orders a promotion and waits until the member leads `least_term` or a newer one.
+    async fn order_and_wait(
+        &self,
+        links: &mut ProbeLinks,
+        successor: &MemberKey,
+        least_term: u64,
+    ) -> bool {
         let ordered =
             self.border.orders.promote(&self.name, &successor.id, self.fencing_token).await;
         if let Err(error) = ordered {
@@ -345,7 +362,8 @@
         while now_ms() < leads_by_ms && self.is_valid() {
             let Some(entry) = self.entry_of(successor) else { break };
             self.probe(links, vec![entry]).await;
-            if self.status_of(successor).is_some_and(|status| status.is_primary) {
+            let status = self.status_of(successor);
+            if status.is_some_and(|status| status.is_primary && status.term >= least_term) {
                 return true;
             }
             tokio::time::sleep(URGENT_TICK).await;
@@ -368,7 +386,9 @@
             return None;
         };
         log::info!(event = "promotion_resumed", service = &*self.name, member = &*member; "");
-        if self.order_and_wait(links, &key).await {
+        // The order may have taken effect already.
+        let least_term = self.newest_term();
+        if self.order_and_wait(links, &key, least_term).await {
             self.adopt(&key);
         }
         let _ = self.border.node.record_promotion(&self.name, None).await;
--- a/core/tests/core/failovers.rs
+++ b/core/tests/core/failovers.rs
@@ -30,7 +30,7 @@
 
 #[test]
 fn a_healthy_primary_stays() {
-    assert_eq!(decide(10_000, Some(&key("m1")), 0, &group()), Decision::Stay);
+    assert_eq!(decide(10_000, Some(&key("m1")), 0, 0, &group()), Decision::Stay);
 }
 
 #[test]
@@ -39,7 +39,7 @@
     group[0].status =
         Some(MemberStatus { is_primary: true, term: 2, position: LogPosition::new(2, 90) });
     group[1] = member("m2", true, 3, 60);
-    assert_eq!(decide(10_000, None, 9_900, &group), Decision::Adopt(key("m2")));
+    assert_eq!(decide(10_000, None, 9_900, 0, &group), Decision::Adopt(key("m2")));
 }
 
 #[rstest]
@@ -55,7 +55,7 @@
     let mut group = group();
     group[0].failing_since_ms = Some(10_000 - failing_for_ms);
     group[0].is_refused = is_refused;
-    assert_eq!(decide(10_000, Some(&key("m1")), 10_000, &group), expected);
+    assert_eq!(decide(10_000, Some(&key("m1")), 10_000, 0, &group), expected);
 }
 
 #[test]
@@ -63,7 +63,7 @@
     let mut group = group();
     group[0].must_leave = true;
     group[2].must_leave = true;
-    assert_eq!(decide(10_000, Some(&key("m1")), 0, &group), Decision::Move(key("m2")));
+    assert_eq!(decide(10_000, Some(&key("m1")), 0, 0, &group), Decision::Move(key("m2")));
 }
 
 #[test]
@@ -71,7 +71,7 @@
     let mut group = group();
     group[0].failing_since_ms = Some(0);
     group[2].failing_since_ms = Some(0);
-    assert_eq!(decide(10_000, Some(&key("m1")), 0, &group), Decision::Replace(key("m2")));
+    assert_eq!(decide(10_000, Some(&key("m1")), 0, 0, &group), Decision::Replace(key("m2")));
 }
 
 #[test]
@@ -80,12 +80,21 @@
     group[0].failing_since_ms = Some(0);
     group[1].must_leave = true;
     group[2].must_leave = true;
-    assert_eq!(decide(10_000, Some(&key("m1")), 0, &group), Decision::Stay);
+    assert_eq!(decide(10_000, Some(&key("m1")), 0, 0, &group), Decision::Stay);
 }
 
 #[test]
 fn a_primary_of_an_ended_term_is_not_used() {
     let mut group = group();
     group[1] = member("m2", false, 4, 50);
-    assert_eq!(decide(10_000, None, 9_900, &group), Decision::Stay);
+    assert_eq!(decide(10_000, None, 9_900, 0, &group), Decision::Stay);
+}
+
+/// On koktem-lifts a primary that had been cut off and replaced was adopted in its old term when
+/// its successor was lost.
+#[test]
+fn a_former_primary_is_not_adopted_in_the_term_that_it_lost() {
+    let group = vec![member("m1", true, 1, 50), member("m3", false, 1, 49)];
+    assert_eq!(decide(10_000, None, 9_900, 2, &group), Decision::Stay);
+    assert_eq!(decide(10_000, None, 9_000, 2, &group), Decision::Replace(key("m1")));
 }
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -297,6 +297,33 @@
     run(&mut session, "w1", "STORE a 1").await.expect("written at the new primary");
 }
 
+/// On koktem-lifts writes were acknowledged at a former primary that was promoted again, before the
+/// promotion took effect: it still said that it led.
+#[tokio::test]
+async fn a_former_primary_serves_only_once_its_new_term_has_begun() {
+    let scene = Scene::start(1).await;
+    scene.group.set_up("m1", false);
+    scene.wait_served(0).await;
+    let second = scene.group.primary().expect("a primary");
+    scene.group.revive_unaware("m1");
+    scene.group.promotion_ms.store(700, Ordering::Release);
+    for member in ["m2", "m3"] {
+        scene.group.set_up(member, false);
+    }
+    let mut session = scene.open(0, "bookings");
+    let started = Instant::now();
+    loop {
+        let ended = run(&mut session, "w1", "STORE a 1").await;
+        if let Ok(answer) = ended {
+            let term = answer.position.expect("a position").term;
+            assert!(term > 2, "written in term {term}; {second} led the second one");
+            return;
+        }
+        assert!(started.elapsed() < PATIENCE, "nothing is served: {ended:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test]
 async fn a_leaving_primary_hands_its_lead_over_and_steps_down() {
     let scene = Scene::start(1).await;
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -171,6 +171,8 @@
     members: Mutex<HashMap<SocketAddr, (MemberEntry, MemberState)>>,
     promotions: Mutex<Vec<(String, u64)>>,
     connections: AtomicU64,
+    /// Time until a promotion takes effect, in milliseconds.
+    pub promotion_ms: AtomicU64,
 }
 
 impl StandInGroup {
@@ -204,6 +206,7 @@
             members: Mutex::new((1..=3).map(member).collect()),
             promotions: Mutex::default(),
             connections: AtomicU64::new(0),
+            promotion_ms: AtomicU64::new(0),
         })
     }
 
@@ -259,6 +262,14 @@
         });
     }
 
+    /// Brings a member back that has not heard of its successor.
+    pub fn revive_unaware(&self, id: &str) {
+        self.with(id, |member| {
+            member.lives += 1;
+            member.is_up = true;
+        });
+    }
+
     /// Sets how long a member takes for each exchange.
     pub fn set_time(&self, id: &str, takes_ms: u64) {
         self.with(id, |member| member.takes_ms = takes_ms);
@@ -471,7 +482,23 @@
     async fn promote(&self, _: &str, member: &str, fencing_token: u64) -> Result<(), String> {
         let promotions = &self.0.promotions;
         promotions.lock().expect("no holder panics").push((member.to_owned(), fencing_token));
-        let mut members = self.0.members.lock().expect("no holder panics");
+        let delay = Duration::from_millis(self.0.promotion_ms.load(Ordering::Acquire));
+        let (group, member) = (self.0.clone(), member.to_owned());
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            group.lead(&member);
+        });
+        if delay.is_zero() {
+            tokio::task::yield_now().await;
+        }
+        Ok(())
+    }
+}
+
+impl StandInGroup {
+    /// Makes a member the primary of a new term; others keep what they think of themselves.
+    fn lead(&self, member: &str) {
+        let mut members = self.members.lock().expect("no holder panics");
         let term = members.values().map(|(_, state)| state.term).max().unwrap_or(0) + 1;
         for (entry, state) in members.values_mut() {
             if &*entry.key.id == member {
@@ -479,6 +506,5 @@
                 state.term = term;
             }
         }
-        Ok(())
     }
 }
