Mend what reads badly: one rule of a fresh proof, transactions in a file of their own

Cause: reading the changes as a newcomer.

Ruled out: joining the settings' and the fleet document's generated types, and the accept loops of peers and callers, which share eight lines.

--- a/core/src/knowledge.rs
+++ b/core/src/knowledge.rs
@@ -28,6 +28,7 @@
 use crate::store::Record;
 use crate::store::StoreError;
 use crate::store::WriteOutcome;
+use crate::store_clock::ClockBounds;
 use crate::store_clock::ClockReading;
 use crate::sync::lock;
 
@@ -99,19 +100,24 @@
         node.lease_attention.notify_one();
         let is_calm = is_informed && !has_overdue(&node);
         let interval = if is_calm { ROUND_INTERVAL } else { URGENT_INTERVAL };
-        let spent = Duration::from_millis(now_ms().saturating_sub(started_at_ms));
         tokio::select! {
             () = node.stop.cancelled() => return,
-            () = tokio::time::sleep(URGENT_INTERVAL.saturating_sub(spent)) => {}
-        }
-        tokio::select! {
-            () = node.stop.cancelled() => return,
-            () = tokio::time::sleep(interval.saturating_sub(spent.max(URGENT_INTERVAL))) => {}
-            () = node.refresh.notified() => {}
+            () = wait_for_round(&node, started_at_ms, interval) => {}
         }
     }
 }
 
+/// Waits until `interval` after a round started, or until a refresh is asked for, but not less than
+/// the interval of urgent rounds.
+async fn wait_for_round(node: &Node, started_at_ms: u64, interval: Duration) {
+    let spent = Duration::from_millis(now_ms().saturating_sub(started_at_ms));
+    tokio::time::sleep(URGENT_INTERVAL.saturating_sub(spent)).await;
+    tokio::select! {
+        () = tokio::time::sleep(interval.saturating_sub(spent.max(URGENT_INTERVAL))) => {}
+        () = node.refresh.notified() => {}
+    }
+}
+
 fn has_overdue(node: &Node) -> bool {
     let now_ms = now_ms();
     let followed = followed_services(node);
@@ -146,10 +152,11 @@
         if let Some(configuration) = node.border.store.read_configuration().await? {
             learn_configuration(node, configuration, sent_at_ms);
         }
-        let Some(first) = service_names(node).into_iter().next() else { return Ok(()) };
-        let records = node.border.store.read_partition(&lease_partition(&first)).await?;
-        node.note_store_clock();
-        records.iter().for_each(|record| learn_record(node, record, now_ms()));
+        if let Some(first) = service_names(node).first() {
+            let records = node.border.store.read_partition(&lease_partition(first)).await?;
+            node.note_store_clock();
+            records.iter().for_each(|record| learn_record(node, record, now_ms()));
+        }
         Ok::<(), StoreError>(())
     };
     if let Err(error) = reading.await {
@@ -203,7 +210,7 @@
         Some(configuration) => learn_configuration(node, configuration, proven_at_ms),
         None => node.configuration.confirm(version, proven_at_ms),
     }
-    if let Some((at_most_ms, at_least_ms)) = news.store_clock_ms {
+    if let Some(ClockBounds { at_most_ms, at_least_ms }) = news.store_clock {
         let received_at_ms = heard_at_ms;
         let reading = ClockReading { sent_at_ms, received_at_ms, at_most_ms, at_least_ms };
         lock(&node.book).note_store_clock(&reading);
@@ -407,7 +414,7 @@
             (Some(theirs), Some(entries)) if theirs != digest(&*entries) => Some(entries.to_vec()),
             _ => None,
         };
-        let store_clock_ms = lock(&self.book).store_clock_ms(now_ms());
+        let store_clock = lock(&self.book).store_clock(now_ms());
         let has_new_configuration = ask.configuration != digest(&*known.configuration);
         Some(News {
             proof_age_ms: now_ms().saturating_sub(known.proven_at_ms),
@@ -415,7 +422,7 @@
             owners: has_new_owners.then(|| self.directory.owners()),
             nodes: has_new_owners.then(|| node_records(self)),
             members: new_members,
-            store_clock_ms,
+            store_clock,
             leases: match ask.wants_leases {
                 true => lock(&self.book).seen(now_ms()),
                 false => Vec::new(),
--- a/core/src/lease_book.rs
+++ b/core/src/lease_book.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use crate::name::Name;
+use crate::store_clock::ClockBounds;
 use crate::store_clock::ClockReading;
 use crate::store_clock::StoreClock;
 
@@ -145,9 +146,9 @@
         self.store_clock.note(reading);
     }
 
-    /// Returns what the store's clock shows at most and at least, in milliseconds.
-    pub fn store_clock_ms(&self, now_ms: u64) -> Option<(u64, u64)> {
-        Some((self.store_clock.at_most_ms(now_ms)?, self.store_clock.at_least_ms(now_ms)?))
+    /// Returns what the store's clock shows.
+    pub fn store_clock(&self, now_ms: u64) -> Option<ClockBounds> {
+        self.store_clock.bounds(now_ms)
     }
 
     /// Takes note of a record whose present version has been known since `now_ms`.
--- a/core/src/lease_records.rs
+++ b/core/src/lease_records.rs
@@ -50,6 +50,11 @@
     }
 }
 
+/// Returns a node's place in an order of all nodes that differs from service to service.
+pub(crate) fn order_for(service: &str, node: &str) -> u64 {
+    xxh3_64(format!("{service}/{node}").as_bytes())
+}
+
 /// Returns this node's place among the candidates for a service: those with few services first,
 /// in an order that differs from service to service.
 pub(crate) fn rank(node: &Node, service: &Name, loads: &HashMap<Name, u64>) -> Option<u64> {
@@ -58,7 +63,7 @@
     }
     let score = |name: &Name| {
         let load = loads.get(name).copied().unwrap_or(0);
-        (load, xxh3_64(format!("{service}/{name}").as_bytes()))
+        (load, order_for(service, name))
     };
     let mine = score(&node.settings.identity.node);
     let nodes = lock(&node.nodes);
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::now_ms;
 use crate::directory::Owner;
@@ -16,6 +15,7 @@
 use crate::lease_records::LEASE_PREFIX;
 use crate::lease_records::learn_lease;
 use crate::lease_records::lease_partition;
+use crate::lease_records::order_for;
 use crate::lease_records::rank;
 use crate::lease_records::service_names;
 use crate::member::MemberEntry;
@@ -52,9 +52,6 @@
 /// Nodes that are asked whether the store answers them, to find an heir: two may be lost.
 const HEIR_CANDIDATES: usize = 3;
 
-/// Age of a configuration proof up to which a node is likely to reach the store, in milliseconds.
-const HEIR_PROOF_MS: u64 = 1_500;
-
 /// Longest wait for the store's answer when a node is asked whether it reaches the store.
 const STORE_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -265,9 +262,9 @@
         let load = loads.get(&record.name).copied().unwrap_or(0).max(report.owned);
         let order = match node.is_stopping() {
             true => report.uptime_ms,
-            false => xxh3_64(format!("{service}/{}", record.name).as_bytes()),
+            false => order_for(service, &record.name),
         };
-        (report.proof_age_ms.is_none_or(|age_ms| age_ms > HEIR_PROOF_MS), load, order)
+        (!report.has_fresh_proof(), load, order)
     });
     fit.truncate(HEIR_CANDIDATES);
     let asking = fit.into_iter().map(|(record, _)| async move {
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -25,8 +25,13 @@
 pub use crate::relay::server::serve_peers;
 use crate::statement::Access;
 use crate::statement::Work;
+use crate::store_clock::ClockBounds;
 use crate::tenant_rates::TokenGrant;
 
+/// Greatest age of the proof of a configuration with which a node counts as reaching the store, in
+/// milliseconds: a round of news and a half.
+pub const FRESH_PROOF_MS: u64 = 1_500;
+
 /// What a read must include.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReadNeed {
@@ -162,6 +167,13 @@
     pub owned: u64,
 }
 
+impl PeerReport {
+    /// Returns whether the node has just heard of the store.
+    pub fn has_fresh_proof(&self) -> bool {
+        self.proof_age_ms.is_some_and(|age_ms| age_ms <= FRESH_PROOF_MS)
+    }
+}
+
 /// What a node knows already, when it asks another for news.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewsAsk {
@@ -188,8 +200,8 @@
     pub nodes: Option<Vec<NodeRecord>>,
     /// The list of members, if it differs.
     pub members: Option<Vec<MemberEntry>>,
-    /// What the store's clock shows at most and at least, in milliseconds.
-    pub store_clock_ms: Option<(u64, u64)>,
+    /// What the store's clock shows.
+    pub store_clock: Option<ClockBounds>,
     /// The leases, if they were asked for.
     pub leases: Vec<SeenLease>,
 }
--- a/core/src/relief.rs
+++ b/core/src/relief.rs
@@ -19,14 +19,10 @@
 /// Shortest time between two looks, in milliseconds: the news of a move have reached others.
 const INTERVAL_MS: u64 = 1_000;
 
-/// Random part of the time between two looks, in milliseconds, so that two nodes seldom choose the
+/// Varying part of the time between two looks, in milliseconds, so that two nodes seldom choose the
 /// same one at the same moment.
 const JITTER_MS: u64 = 1_000;
 
-/// Greatest age of the proof of a configuration for a node that should take a service, in
-/// milliseconds: it has just heard of the store.
-const PROOF_LIMIT_MS: u64 = 1_500;
-
 /// Offers a service to a node that owns fewer, again and again.
 pub(crate) async fn keep_balanced(node: Arc<Node>) {
     let me = node.settings.identity.node.clone();
@@ -36,8 +32,8 @@
             () = node.stop.cancelled() => return,
             () = tokio::time::sleep(Duration::from_millis(INTERVAL_MS + jitter_ms)) => {}
         }
-        if node.is_stopping() || node.configuration_age_ms().is_none_or(|age| age > PROOF_LIMIT_MS)
-        {
+        let report = node.report();
+        if report.is_stopping || !report.has_fresh_proof() {
             continue;
         }
         if let Some(service) = settled_service(&node)
@@ -59,6 +55,7 @@
     settled.min_by_key(|service| service.transactions()).cloned()
 }
 
+/// Returns a node that owns fewer services, has just heard of the store and still reaches it.
 async fn find_relief(node: &Node, round: u64) -> Option<Name> {
     let me = &node.settings.identity.node;
     let mine = lock(&node.services).len() as u64;
@@ -70,8 +67,8 @@
             continue;
         };
         let Ok(report) = node.peers.report(address).await else { continue };
-        let is_informed = report.proof_age_ms.is_some_and(|age_ms| age_ms < PROOF_LIMIT_MS);
-        let is_fit = is_informed && !report.is_stopping && is_uneven(mine, report.owned);
+        let is_fit =
+            report.has_fresh_proof() && !report.is_stopping && is_uneven(mine, report.owned);
         if is_fit && node.peers.reaches_store(address).await == Ok(true) {
             return Some(name);
         }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -8,6 +8,7 @@
 mod monitor;
 mod probe;
 mod runner;
+mod transactions;
 
 use std::collections::HashMap;
 use std::fmt::Write;
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -131,8 +131,8 @@
             if known.is_some() {
                 without_primary_since_ms = now_ms();
             }
-            let served = lock(&self.standing).history.as_ref().map_or(0, CommitHistory::term);
-            match decide(now_ms(), known.as_ref(), without_primary_since_ms, served, &views) {
+            let served_term = self.served_term();
+            match decide(now_ms(), known.as_ref(), without_primary_since_ms, served_term, &views) {
                 Decision::Stay => self.drop_deposed(known.as_ref(), &views),
                 Decision::Adopt(leader) => self.adopt(&leader),
                 Decision::Replace(successor) => {
@@ -335,9 +335,14 @@
         }
     }
 
+    /// Returns the newest term that this owner has served; 0 if it has served none.
+    fn served_term(&self) -> u64 {
+        lock(&self.standing).history.as_ref().map_or(0, CommitHistory::term)
+    }
+
     /// Returns the newest term that any member has told, or that this owner has served.
     fn newest_term(&self) -> u64 {
-        let served = lock(&self.standing).history.as_ref().map_or(0, CommitHistory::term);
+        let served = self.served_term();
         let pool = lock(&self.pool);
         let told = pool.members().values().filter_map(|member| Some(member.status?.term));
         told.max().unwrap_or(0).max(served)
--- a/core/src/store_clock.rs
+++ b/core/src/store_clock.rs
@@ -6,8 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Greatest difference of the speeds of two clocks, in milliseconds for each second: clocks of
-/// machines drift by a tenth of this at most.
+/// Greatest difference of the speeds of two clocks that is allowed for, in milliseconds for each
+/// second: ten times the 100 ppm expected of a machine's clock.
 const DRIFT_MS_PER_S: u64 = 1;
 
 /// What one call tells of the store's clock.
@@ -23,6 +23,15 @@
     pub at_least_ms: u64,
 }
 
+/// What the store's clock shows at some moment, within bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClockBounds {
+    /// At most, in milliseconds.
+    pub at_most_ms: u64,
+    /// At least, in milliseconds.
+    pub at_least_ms: u64,
+}
+
 /// A bound on the store's clock at a moment of this process's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Bound {
@@ -51,6 +60,13 @@
         }
     }
 
+    /// Returns both bounds, once a call was answered.
+    pub fn bounds(&self, now_ms: u64) -> Option<ClockBounds> {
+        let at_most_ms = self.at_most_ms(now_ms)?;
+        let at_least_ms = self.at_least_ms(now_ms)?;
+        Some(ClockBounds { at_most_ms, at_least_ms })
+    }
+
     /// Returns what the store's clock shows at most, in milliseconds.
     pub fn at_most_ms(&self, now_ms: u64) -> Option<u64> {
         self.upper.map(|bound| latest(bound, now_ms))
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -12,4 +12,5 @@
 mod session_rules;
 mod soak;
 mod stand_in;
+mod stand_in_store;
 mod store_clocks;
--- a/core/tests/core/scene.rs
+++ b/core/tests/core/scene.rs
@@ -10,7 +10,7 @@
 use crate::stand_in::StandInConnector;
 use crate::stand_in::StandInGroup;
 use crate::stand_in::StandInOrders;
-use crate::stand_in::StandInStore;
+use crate::stand_in_store::StandInStore;
 use snipehead_core::configuration::Configuration;
 use snipehead_core::configuration::Consistency;
 use snipehead_core::configuration::Route;
