Distribute metadata by data centre and place owners by capacity

All hosts wrote a record into one partition at the start (411 refused with 429). Owners were ranked by the number of services, so all 20 stood on small hosts.

Change: hosts send their record with their requests instead of storing it. Four candidates a data centre own services and distribute metadata; candidates ask the reader, others a relay of their data centre. Answers without news are held back up to a second. A few deputies read the store when the reader fails, others later, spread and with doubling pauses. Seeds of the settings serve a start. Takeovers and moves go by share of capacity in use, one takeover per look. Followers get the leases that they would take over only.

Ruled out: asking less often (linear all the same), gossip (age grows with the hops), a feed at each host (a herd after each outage).

--- a/core/src/configuration_watch.rs
+++ b/core/src/configuration_watch.rs
@@ -6,6 +6,7 @@
 use tokio::sync::watch;
 
 use crate::configuration::Configuration;
+use crate::digest::digest;
 use crate::sync::lock;
 
 /// A configuration with the time at which it was last known to be the newest.
@@ -16,6 +17,8 @@
     /// Time at which the call that showed it to be the newest was sent, in milliseconds of
     /// [`now_ms`](crate::clock::now_ms).
     pub confirmed_at_ms: u64,
+    /// Digest of the configuration.
+    pub digest: u64,
 }
 
 /// Shares the newest configuration among the tasks of a node.
@@ -43,12 +46,16 @@
         let is_change = present.as_deref() != Some(&configuration);
         let confirmed_at_ms =
             known.as_ref().map_or(0, |known| known.confirmed_at_ms).max(sent_at_ms);
-        let configuration = match present {
-            Some(present) if !is_change => present,
-            _ => Arc::new(configuration),
+        let present_digest = known.as_ref().map_or(0, |known| known.digest);
+        let (configuration, digest) = match present {
+            Some(present) if !is_change => (present, present_digest),
+            _ => {
+                let digest = digest(&configuration);
+                (Arc::new(configuration), digest)
+            }
         };
         let version = configuration.version;
-        *known = Some(KnownConfiguration { configuration, confirmed_at_ms });
+        *known = Some(KnownConfiguration { configuration, confirmed_at_ms, digest });
         drop(known);
         if is_change {
             self.changes.send_replace(version);
--- a/core/src/lease_records.rs
+++ b/core/src/lease_records.rs
@@ -1,6 +1,4 @@
-//! Storage of leases, and the order in which nodes take them over.
-
-use std::collections::HashMap;
+//! Storage of leases.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -50,27 +48,3 @@
         );
     }
 }
-
-/// Returns a hash that orders the nodes differently for each service.
-pub(crate) fn ordering_hash(service: &str, node: &str) -> u64 {
-    xxh3_64(format!("{service}/{node}").as_bytes())
-}
-
-/// Returns this node's rank among the candidates to own a service, or `None` if the node is
-/// stopping. Nodes with fewer services come first; a hash that differs per service breaks ties.
-pub(crate) fn takeover_rank(
-    node: &Node,
-    service: &Name,
-    loads: &HashMap<Name, u64>,
-) -> Option<u64> {
-    if node.is_stopping() {
-        return None;
-    }
-    let score = |name: &Name| {
-        let load = loads.get(name).copied().unwrap_or(0);
-        (load, ordering_hash(service, name))
-    };
-    let mine = score(&node.settings.identity.node);
-    let nodes = lock(&node.nodes);
-    Some(nodes.keys().filter(|name| score(name) < mine).count() as u64)
-}
--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -50,6 +50,10 @@
 /// milliseconds: long enough for several reads of the leases.
 const CONFIRMATION_LIMIT_MS: u64 = 2_000;
 
+/// Time for which a lease that nobody has ever held stays free after it was first observed, in
+/// milliseconds: when all nodes start at once, they have heard of each other by then.
+const FIRST_TAKEOVER_DELAY_MS: u64 = 1_000;
+
 /// Number of renewals whose send time is kept.
 const REMEMBERED_RENEWALS: usize = 32;
 
@@ -81,8 +85,8 @@
 pub struct ObservedLease {
     /// Service that the lease is for.
     pub service: Name,
-    /// Current record.
-    pub record: LeaseRecord,
+    /// Current record; `None` if nobody has ever held the lease.
+    pub record: Option<LeaseRecord>,
     /// Version of the record.
     pub version: u64,
     /// Time since this version was first observed, in milliseconds.
@@ -229,7 +233,8 @@
 
     /// Returns the writes that are due, and records them as sent at `now_ms`. `rank` returns this
     /// node's rank among the candidates for a service: 0 for the first, `None` if the node should
-    /// not own the service.
+    /// not own the service. At most one of the writes takes a lease over from another node, since the
+    /// rank changes with each service that the node owns.
     pub fn due_writes<Rank>(
         &mut self,
         now_ms: u64,
@@ -239,7 +244,25 @@
     where
         Rank: Fn(&Name) -> Option<u64>,
     {
-        services.iter().filter_map(|service| self.due_write(now_ms, service, &rank)).collect()
+        let mut takes_over = false;
+        let mut writes = Vec::new();
+        for service in services {
+            let is_takeover = self.is_held_elsewhere(service);
+            if is_takeover && takes_over {
+                continue;
+            }
+            if let Some(write) = self.due_write(now_ms, service, &rank) {
+                takes_over |= is_takeover;
+                writes.push(write);
+            }
+        }
+        writes
+    }
+
+    /// Returns whether the record of a lease names neither this process nor its address as the holder.
+    fn is_held_elsewhere(&self, service: &Name) -> bool {
+        let record = self.leases.get(service).and_then(|lease| lease.record.as_ref());
+        record.is_none_or(|record| record.address != self.identity.address)
     }
 
     fn due_write<Rank>(&mut self, now_ms: u64, service: &Name, rank: &Rank) -> Option<LeaseWrite>
@@ -261,7 +284,9 @@
             _ if now_ms > lease.confirmed_at_ms + CONFIRMATION_LIMIT_MS => false,
             record => {
                 let takeover_at_ms = self.takeover_at_ms(now_ms, lease, record.as_ref());
-                now_ms >= takeover_at_ms + self.takeover_delay_ms(record.as_ref(), rank(service)?)
+                now_ms >= takeover_at_ms
+                    && now_ms
+                        >= takeover_at_ms + self.takeover_delay_ms(record.as_ref(), rank(service)?)
             }
         };
         may_write.then(|| self.write(now_ms, service, false, None)).flatten()
@@ -285,7 +310,7 @@
 
     /// Returns when the first candidate may take a lease over.
     fn takeover_at_ms(&self, now_ms: u64, lease: &Lease, record: Option<&LeaseRecord>) -> u64 {
-        let Some(record) = record else { return lease.observed_at_ms };
+        let Some(record) = record else { return lease.observed_at_ms + FIRST_TAKEOVER_DELAY_MS };
         if record.is_released || record.address == self.identity.address {
             return lease.observed_at_ms;
         }
@@ -410,22 +435,13 @@
         held.map(|(service, _)| service.clone()).collect()
     }
 
-    /// Returns for each node how many known lease records name it as the holder, including leases
-    /// that have been released or have expired.
-    pub fn services_per_node(&self) -> HashMap<Name, u64> {
-        let mut load = HashMap::new();
-        for record in self.leases.values().filter_map(|lease| lease.record.as_ref()) {
-            *load.entry(record.holder.clone()).or_default() += 1;
-        }
-        load
-    }
-
-    /// Returns all known leases, with the time since each last changed.
-    pub fn observed_leases(&self, now_ms: u64) -> Vec<ObservedLease> {
-        let known = self.leases.iter().filter_map(|(service, lease)| {
+    /// Returns the known ones of these leases, with the time since each last changed.
+    pub fn observed_leases(&self, now_ms: u64, services: &[Name]) -> Vec<ObservedLease> {
+        let known = services.iter().filter_map(|service| {
+            let lease = self.leases.get(service)?;
             Some(ObservedLease {
                 service: service.clone(),
-                record: lease.record.clone()?,
+                record: lease.record.clone(),
                 version: lease.version,
                 unchanged_for_ms: now_ms.saturating_sub(lease.observed_at_ms),
             })
@@ -433,6 +449,11 @@
         known.collect()
     }
 
+    /// Returns the newest known version of any lease.
+    pub fn newest_version(&self) -> u64 {
+        self.leases.values().map(|lease| lease.version).max().unwrap_or(0)
+    }
+
     /// Returns whether a lease is unknown or free, or has expired without a renewal by its holder.
     pub fn is_overdue(&self, now_ms: u64, service: &Name) -> bool {
         self.leases.get(service).is_none_or(|lease| {
--- a/core/src/member_directory.rs
+++ b/core/src/member_directory.rs
@@ -5,12 +5,13 @@
 
 use tokio::sync::watch;
 
+use crate::digest::digest;
 use crate::member::MemberEntry;
 use crate::sync::lock;
 
 /// Shares the list of members among the services that a node owns.
 pub struct MemberDirectory {
-    entries: Mutex<Option<Arc<Vec<MemberEntry>>>>,
+    entries: Mutex<Option<(Arc<Vec<MemberEntry>>, u64)>>,
     reads: watch::Sender<u64>,
 }
 
@@ -23,7 +24,8 @@
 impl MemberDirectory {
     /// Replaces the list.
     pub fn update(&self, entries: Vec<MemberEntry>) {
-        *lock(&self.entries) = Some(Arc::new(entries));
+        let digest = digest(&entries);
+        *lock(&self.entries) = Some((Arc::new(entries), digest));
         self.confirm();
     }
 
@@ -34,7 +36,12 @@
 
     /// Returns the newest list, if one is known.
     pub fn entries(&self) -> Option<Arc<Vec<MemberEntry>>> {
-        lock(&self.entries).clone()
+        lock(&self.entries).as_ref().map(|(entries, _)| entries.clone())
+    }
+
+    /// Returns a digest of the newest list; 0 if none is known.
+    pub fn digest(&self) -> u64 {
+        lock(&self.entries).as_ref().map_or(0, |(_, digest)| *digest)
     }
 
     /// Returns a receiver that is notified of each read of the list.
--- /dev/null
+++ b/core/src/metadata_server.rs
@@ -0,0 +1,84 @@
+//! Answers other nodes' requests for metadata.
+
+use std::time::Duration;
+
+use crate::clock::now_ms;
+use crate::node::Node;
+use crate::relay::MetadataRequest;
+use crate::relay::MetadataUpdate;
+use crate::sync::lock;
+
+/// Longest time for which an answer without anything new is held back, in milliseconds: about the time
+/// between two reads of the store.
+pub(crate) const METADATA_HOLD_MS: u64 = 1_000;
+
+/// Smallest difference in age by which a confirmation counts as another one, in milliseconds: more than
+/// the transit time of a request.
+const NEWER_BY_MS: u64 = 100;
+
+impl Node {
+    /// Returns the metadata that the requesting node lacks, or `None` if this node knows no
+    /// configuration. An answer without anything new is held back until there is something, so that
+    /// all nodes learn of a change soon after the store was read.
+    pub async fn metadata_for(&self, request: MetadataRequest) -> Option<MetadataUpdate> {
+        let received_at_ms = now_ms();
+        lock(&self.nodes).observe(received_at_ms, request.sender.clone(), 0);
+        let mut synced = self.synced.subscribe();
+        let mut owners = self.owner_directory.changes();
+        loop {
+            let held_ms = now_ms().saturating_sub(received_at_ms);
+            let update = self.update_for(&request);
+            let is_new = update.as_ref().is_some_and(|update| has_news(&request, update, held_ms));
+            if is_new || held_ms >= METADATA_HOLD_MS || self.is_stopping() {
+                return update;
+            }
+            let left = Duration::from_millis(METADATA_HOLD_MS - held_ms);
+            tokio::select! {
+                _ = synced.changed() => {}
+                _ = owners.changed() => {}
+                () = tokio::time::sleep(left) => {}
+            }
+        }
+    }
+
+    fn update_for(&self, request: &MetadataRequest) -> Option<MetadataUpdate> {
+        let now_ms = now_ms();
+        let known = self.configuration.known()?;
+        let members = self.members.entries();
+        let new_members = match (request.members, members) {
+            (Some(theirs), Some(entries)) if theirs != self.members.digest() => {
+                Some(entries.to_vec())
+            }
+            _ => None,
+        };
+        let nodes = lock(&self.nodes);
+        let candidates =
+            (request.candidates != Some(nodes.digest())).then(|| nodes.heard_candidates(now_ms));
+        drop(nodes);
+        let leases = lock(&self.lease_table);
+        Some(MetadataUpdate {
+            confirmation_age_ms: now_ms.saturating_sub(known.confirmed_at_ms),
+            configuration: (request.configuration != known.digest)
+                .then(|| (*known.configuration).clone()),
+            owners: (request.owners != self.owner_directory.digest())
+                .then(|| self.owner_directory.owners()),
+            candidates,
+            members: new_members,
+            store_clock: leases.store_clock(now_ms),
+            leases: leases.observed_leases(now_ms, &request.leases),
+        })
+    }
+}
+
+/// Returns whether an update contains something that the requesting node lacked when it sent the request
+/// `held_ms` ago.
+fn has_news(request: &MetadataRequest, update: &MetadataUpdate, held_ms: u64) -> bool {
+    let is_newer = request
+        .confirmation_age_ms
+        .is_none_or(|theirs_ms| update.confirmation_age_ms + NEWER_BY_MS < theirs_ms + held_ms);
+    is_newer
+        || update.configuration.is_some()
+        || update.owners.is_some()
+        || update.members.is_some()
+        || (update.candidates.is_some() && request.candidates.is_some())
+}
--- a/core/src/metadata_sync.rs
+++ b/core/src/metadata_sync.rs
@@ -1,14 +1,12 @@
 //! Synchronizes a node with the configuration, the leases, the list of nodes and the members.
 //!
-//! One node, the reader, reads the store: the owner of the first service, by name, that has a known
-//! owner. All other nodes ask the reader, which tells how old its data is. A node reads the store
-//! itself while the reader does not answer or has only old data.
+//! [`MetadataSource`] chooses whom to ask: the node that reads the store, another node that asks that one,
+//! or the store itself. An answer tells how old its data is, counted from the read of the store.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::now_ms;
@@ -17,97 +15,98 @@
 use crate::lease_records::apply_lease;
 use crate::lease_records::configured_services;
 use crate::lease_records::lease_partition;
-use crate::lease_records::takeover_rank;
 use crate::lease_table::LeaseRecord;
+use crate::metadata_source::MetadataSource;
+use crate::metadata_source::MetadataTopology;
+use crate::metadata_source::SyncOutcome;
+use crate::metadata_source::SyncStep;
 use crate::name::Name;
 use crate::node::Node;
-use crate::node_record::NodeRecord;
+use crate::node_directory::CANDIDATES_PER_ZONE;
+use crate::node_record::HeardNode;
 use crate::owner_directory::Owner;
 use crate::relay::MetadataRequest;
 use crate::relay::MetadataUpdate;
 use crate::store::Record;
 use crate::store::StoreError;
-use crate::store::WriteOutcome;
 use crate::store_clock::ClockBounds;
 use crate::store_clock::ClockReading;
 use crate::sync::lock;
 
-/// Interval of synchronization. A change must be in force within a few seconds, and the
+/// Interval of reads of the store. A change must be in force within a few seconds, and the
 /// configuration must be confirmed again before it is too old to act on.
-const ROUND_INTERVAL: Duration = Duration::from_millis(1_000);
+const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Interval of synchronization after a failed round, and while this node is among the first
-/// candidates for a service whose lease is free or overdue.
+/// Interval after a failed round, and while the reader sees a lease that is overdue.
 const URGENT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Delay before a node that is not the reader reads the store again after a failure, in
-/// milliseconds. The reader tries in each round, and the others get the data from it. If all nodes
-/// tried that often, the load would keep the store from recovering.
-const STORE_RETRY_MS: u64 = 1_000;
+/// Shortest time between two requests for metadata. The asked node holds its answer back while it has
+/// nothing new.
+const MIN_ASK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Age of the reader's data up to which other nodes accept it, in milliseconds. Older data means
-/// that the reader no longer reaches the store.
-const MAX_METADATA_AGE_MS: u64 = 1_500;
+/// Greatest age of accepted metadata as a fraction of the time for which a key may be used, and its
+/// lower bound in milliseconds. What is older would soon be too old to act on.
+const MAX_METADATA_AGE_FRACTION: f64 = 0.5;
+const MIN_METADATA_AGE_LIMIT_MS: u64 = 1_500;
 
 /// Number of first candidates for a service that follow its lease, so that they notice at once when
 /// it expires: the owner and one candidate may fail at once.
 const FOLLOWER_COUNT: u64 = 3;
 
-/// Time between two reads of all records, in milliseconds: the store keeps as much history.
-const WHOLE_READ_INTERVAL_MS: u64 = 20_000;
+/// Number of successors of the reader that other nodes ask when it fails.
+const DEPUTY_COUNT: usize = 3;
 
-/// Rounds for which a node that has just started waits for the reader before it reads all records
-/// itself. When all nodes start at once, the reader needs about two rounds.
-const STARTUP_ROUNDS: u32 = 3;
+/// Number of deputies that read all records when they stand in for the reader.
+const READING_DEPUTIES: u64 = 2;
 
-/// Store partition that holds the records of nodes.
-const NODE_PARTITION: &str = "nodes";
+/// Time between two reads of all records, in milliseconds: the store keeps as much history.
+const WHOLE_READ_INTERVAL_MS: u64 = 20_000;
 
-/// Key prefix of the records of nodes.
-const NODE_PREFIX: &str = "node/";
+/// Time between two requests for the whole list of candidates, with the times at which they were heard
+/// from, in milliseconds: several within the time after which a node is forgotten.
+const CANDIDATE_REFRESH_MS: u64 = 8_000;
 
-/// Synchronizes the node periodically, with the reader or else with the store.
+/// Synchronizes the node periodically, with another node or with the store.
 pub(crate) async fn sync_metadata(node: Arc<Node>) {
-    let mut is_published = false;
+    let jitter = xxh3_64(node.settings.identity.node.as_bytes());
+    let mut source = MetadataSource::new(now_ms(), jitter);
     let mut has_failed = false;
-    let mut startup_rounds = STARTUP_ROUNDS;
-    let mut retry_at_ms = 0;
+    let mut refresh_at_ms = 0;
     loop {
         let started_at_ms = now_ms();
-        if !is_published && startup_rounds > 0 && !locate_reader(&node).await {
-            startup_rounds = 0;
-        }
-        if !is_published && startup_rounds > 0 {
-            is_published = publish_node_record(&node, &[]).await;
-        }
-        let mut is_synced = is_published && sync_from_reader(&node).await;
-        startup_rounds = if is_synced { 0 } else { startup_rounds.saturating_sub(1) };
-        let may_read = reader_address(&node).is_none() || started_at_ms >= retry_at_ms;
-        if !is_synced && startup_rounds == 0 && may_read {
-            match sync_from_store(&node, &mut is_published).await {
-                Ok(()) => {
-                    is_synced = is_published;
-                    if std::mem::take(&mut has_failed) {
-                        log::info!(
-                            event = "store_reachable_again";
-                            "synchronization with the store succeeded after it had failed"
-                        );
-                    }
+        lock(&node.nodes).expire(started_at_ms);
+        let topology = topology(&node);
+        let step = source.next(started_at_ms, &topology);
+        let outcome = match step {
+            SyncStep::ReadStore => {
+                let synced = sync_from_store(&node, &topology).await;
+                log_store_access(&mut has_failed, synced.as_ref().err());
+                match synced {
+                    Ok(true) => SyncOutcome::Recent,
+                    Ok(false) => SyncOutcome::Outdated,
+                    Err(_) => SyncOutcome::Failed,
                 }
-                Err(error) => {
-                    retry_at_ms = now_ms() + STORE_RETRY_MS;
-                    if !std::mem::replace(&mut has_failed, true) {
-                        log::warn!(
-                            event = "store_unreachable", error = error.to_string();
-                            "synchronization with the store failed; logged once until it succeeds"
-                        );
-                    }
+            }
+            SyncStep::Ask(address) => {
+                let wants_all = started_at_ms >= refresh_at_ms;
+                let outcome = sync_from_node(&node, address, wants_all).await;
+                if wants_all && outcome == SyncOutcome::Recent {
+                    refresh_at_ms = started_at_ms + CANDIDATE_REFRESH_MS;
                 }
+                outcome
             }
-        }
+            SyncStep::Wait => SyncOutcome::Outdated,
+        };
+        source.record(now_ms(), step, outcome);
+        node.record_sync(step, outcome);
         node.lease_wakeup.notify_one();
-        let is_current = is_synced && !has_overdue_lease(&node);
-        let interval = if is_current { ROUND_INTERVAL } else { URGENT_INTERVAL };
+        let is_urgent =
+            outcome != SyncOutcome::Recent || (topology.is_reader() && has_overdue_lease(&node));
+        let interval = match step {
+            _ if is_urgent => URGENT_INTERVAL,
+            SyncStep::ReadStore if topology.is_reader() => READ_INTERVAL,
+            _ => MIN_ASK_INTERVAL,
+        };
         tokio::select! {
             () = node.stop.cancelled() => return,
             () = wait_for_round(&node, started_at_ms, interval) => {}
@@ -115,6 +114,27 @@
     }
 }
 
+fn log_store_access(has_failed: &mut bool, error: Option<&StoreError>) {
+    match error {
+        None => {
+            if std::mem::take(has_failed) {
+                log::info!(
+                    event = "store_reachable_again";
+                    "synchronization with the store succeeded after it had failed"
+                );
+            }
+        }
+        Some(error) => {
+            if !std::mem::replace(has_failed, true) {
+                log::warn!(
+                    event = "store_unreachable", error = error.to_string();
+                    "synchronization with the store failed; logged once until it succeeds"
+                );
+            }
+        }
+    }
+}
+
 /// Waits until `interval` after the start of a round, or until a refresh is requested, but at least
 /// until [`URGENT_INTERVAL`] after that start.
 async fn wait_for_round(node: &Node, started_at_ms: u64, interval: Duration) {
@@ -126,100 +146,130 @@
     }
 }
 
-/// Returns whether a followed service has a lease that is free or not renewed in time.
+/// Returns whether any service has a lease that is free or not renewed in time.
 fn has_overdue_lease(node: &Node) -> bool {
     let now_ms = now_ms();
-    let followed = followed_services(node);
+    let services = configured_services(node);
     let leases = lock(&node.lease_table);
-    followed.iter().any(|service| leases.is_overdue(now_ms, service))
+    services.iter().any(|service| leases.is_overdue(now_ms, service))
 }
 
-/// Returns the services for which this node is among the first candidates to take over.
+/// Returns the services whose leases this node needs: those that it owns, and those for which it is
+/// among the first candidates.
 fn followed_services(node: &Node) -> Vec<Name> {
-    let loads = lock(&node.lease_table).services_per_node();
-    let services = configured_services(node);
+    let me = &node.settings.identity.node;
+    let placement = node.placement();
+    let held = lock(&node.lease_table).held_services();
     let follows =
-        |service: &Name| takeover_rank(node, service, &loads).is_some_and(|r| r < FOLLOWER_COUNT);
-    services.into_iter().filter(|service| follows(service)).collect()
-}
-
-fn is_owner_missing(node: &Node, service: &str) -> bool {
-    let owner = node.owner_directory.owner(service);
-    owner.is_none_or(|owner| node.peers.unresponsive_for_ms(owner.address).is_some())
+        |service: &Name| held.contains(service) || placement.rank(me, service) < FOLLOWER_COUNT;
+    configured_services(node).into_iter().filter(follows).collect()
 }
 
-/// Returns the address of the reader, or `None` if this node is the reader or no owner is known.
+/// Returns the owner of the first service, by name, that has a known owner: the reader.
 fn reader_address(node: &Node) -> Option<SocketAddr> {
     let services = configured_services(node);
     let owner = services.iter().find_map(|service| node.owner_directory.owner(service))?;
-    (owner.address != node.settings.identity.address).then_some(owner.address)
+    Some(owner.address)
+}
+
+/// Returns the nodes among which this node chooses its source of metadata.
+fn topology(node: &Node) -> MetadataTopology {
+    let me = node.settings.identity.address;
+    let reader = reader_address(node);
+    let placement = node.placement();
+    let first_service = configured_services(node).into_iter().next();
+    let is_responsive = |address: &SocketAddr| node.peers.unresponsive_for_ms(*address).is_none();
+    let successors: Vec<SocketAddr> = first_service
+        .iter()
+        .flat_map(|service| placement.takeover_order(service))
+        .map(|record| record.address)
+        .filter(|address| Some(*address) != reader && is_responsive(address))
+        .collect();
+    let is_candidate = lock(&node.nodes).is_candidate();
+    let zone = &node.settings.zone;
+    let relays: Vec<SocketAddr> = placement
+        .candidates
+        .iter()
+        .filter(|record| !is_candidate && record.zone == *zone)
+        .map(|record| record.address)
+        // The reader has enough to answer already.
+        .filter(|address| Some(*address) != reader && is_responsive(address))
+        .collect();
+    let rank = successors.iter().position(|address| *address == me);
+    MetadataTopology {
+        me: Some(me),
+        reader,
+        // The node may be too new for the others to know that it is no candidate.
+        relays: if relays.len() < CANDIDATES_PER_ZONE / 2 { Vec::new() } else { relays },
+        deputies: successors.into_iter().take(DEPUTY_COUNT).collect(),
+        deputy_rank: rank.map(|rank| rank as u64),
+        seeds: node.settings.seeds.clone(),
+    }
 }
 
-/// Reads from the store only what identifies the reader. Returns whether that is another node.
-async fn locate_reader(node: &Node) -> bool {
+/// Reads from the store the configuration, and the lease that names the reader.
+async fn look_up_reader(node: &Node) -> Result<(), StoreError> {
     let sent_at_ms = now_ms();
-    let lookup = async {
-        if let Some(configuration) = node.dependencies.store.read_configuration().await? {
-            apply_configuration(node, configuration, sent_at_ms);
-        }
-        if let Some(first) = configured_services(node).first() {
-            let records = node.dependencies.store.read_partition(&lease_partition(first)).await?;
-            node.record_store_clock();
-            records.iter().for_each(|record| apply_record(node, record, now_ms()));
-        }
-        Ok::<(), StoreError>(())
-    };
-    if let Err(error) = lookup.await {
-        log::info!(
-            event = "reader_lookup_failed", error = error.to_string();
-            "the store did not tell which node reads it for the others"
-        );
+    if let Some(configuration) = node.dependencies.store.read_configuration().await? {
+        apply_configuration(node, configuration, sent_at_ms);
     }
-    reader_address(node).is_some()
+    if let Some(first) = configured_services(node).first() {
+        let records = node.dependencies.store.read_partition(&lease_partition(first)).await?;
+        node.record_store_clock();
+        records.iter().for_each(|record| apply_record(node, record, now_ms()));
+    }
+    Ok(())
 }
 
-/// Synchronizes with the reader. Returns whether its data was recent enough.
-async fn sync_from_reader(node: &Node) -> bool {
-    let Some(address) = reader_address(node) else { return false };
-    let Some(known) = node.configuration.known() else { return false };
+/// Synchronizes with another node.
+async fn sync_from_node(node: &Node, address: SocketAddr, wants_all: bool) -> SyncOutcome {
+    let known = node.configuration.known();
     let owns_some = !lock(&node.services).is_empty();
-    let members = node.members.entries();
+    let (sender, candidates) = {
+        let nodes = lock(&node.nodes);
+        (nodes.me().clone(), (!wants_all).then(|| nodes.digest()))
+    };
     let request = MetadataRequest {
-        configuration: digest(&*known.configuration),
-        owners: owners_digest(node),
-        members: owns_some.then(|| members.map_or(0, |entries| digest(&*entries))),
-        wants_leases: owns_some
-            || !followed_services(node).is_empty()
-            || configured_services(node).iter().any(|service| is_owner_missing(node, service)),
+        sender,
+        confirmation_age_ms: node.configuration_age_ms(),
+        configuration: known.as_ref().map_or(0, |known| known.digest),
+        owners: node.owner_directory.digest(),
+        candidates,
+        members: owns_some.then(|| node.members.digest()),
+        leases: followed_services(node),
     };
-    let wants_members = request.members.is_some();
+    let version = known.map_or(0, |known| known.configuration.version);
+    let limit_ms = node.metadata_age_limit_ms();
     let sent_at_ms = now_ms();
     match node.peers.fetch_metadata(address, request).await {
-        Ok(Some(update)) if update.confirmation_age_ms <= MAX_METADATA_AGE_MS => {
-            apply_update(node, update, known.configuration.version, sent_at_ms, wants_members);
-            !wants_members || node.members.entries().is_some()
+        Ok(Some(update)) if update.confirmation_age_ms <= limit_ms => {
+            apply_update(node, update, version, sent_at_ms, owns_some);
+            SyncOutcome::Recent
         }
         Ok(update) => {
+            if let Some(candidates) = update.as_ref().and_then(|update| update.candidates.clone()) {
+                apply_candidates(node, candidates);
+            }
             log::info!(
-                event = "reader_metadata_unusable", reader = address.to_string(),
+                event = "metadata_unusable", peer = address.to_string(),
                 age_ms = update.map_or(0, |update| update.confirmation_age_ms);
-                "the reader returned no metadata, or metadata that is too old"
+                "the asked node returned no metadata, or metadata that is too old"
             );
-            false
+            SyncOutcome::Outdated
         }
         Err(error) => {
             log::info!(
-                event = "reader_unreachable", reader = address.to_string(),
+                event = "metadata_unanswered", peer = address.to_string(),
                 error = error.to_string();
-                "the node that reads the store did not answer a request for metadata"
+                "the asked node did not answer a request for metadata"
             );
-            false
+            SyncOutcome::Failed
         }
     }
 }
 
-/// Applies the reader's answer to a request that was sent at `sent_at_ms`, when this node had
-/// `version` of the configuration.
+/// Applies the answer to a request that was sent at `sent_at_ms`, when this node had `version` of the
+/// configuration.
 fn apply_update(
     node: &Node,
     update: MetadataUpdate,
@@ -238,9 +288,7 @@
         let reading = ClockReading { sent_at_ms, received_at_ms, at_most_ms, at_least_ms };
         lock(&node.lease_table).record_store_clock(&reading);
     }
-    for record in update.nodes.unwrap_or_default() {
-        lock(&node.nodes).insert(record.name.clone(), record);
-    }
+    apply_candidates(node, update.candidates.unwrap_or_default());
     for (service, owner) in update.owners.unwrap_or_default() {
         apply_owner(node, &service, owner);
     }
@@ -251,11 +299,24 @@
     }
     for lease in update.leases {
         let observed_at_ms = answered_at_ms.saturating_sub(lease.unchanged_for_ms);
-        apply_lease(node, observed_at_ms, &lease.service, lease.record, lease.version);
+        match lease.record {
+            Some(record) => {
+                apply_lease(node, observed_at_ms, &lease.service, record, lease.version);
+            }
+            None => lock(&node.lease_table).observe(observed_at_ms, &lease.service, None, 0),
+        }
         lock(&node.lease_table).confirm(confirmed_at_ms, &lease.service);
     }
 }
 
+fn apply_candidates(node: &Node, candidates: Vec<HeardNode>) {
+    let now_ms = now_ms();
+    let mut nodes = lock(&node.nodes);
+    for heard in candidates {
+        nodes.observe(now_ms, heard.record, heard.heard_age_ms);
+    }
+}
+
 fn apply_owner(node: &Node, service: &Name, owner: Owner) {
     if node.owner_directory.update(service, owner.clone()) {
         log::info!(
@@ -276,8 +337,22 @@
     }
 }
 
-/// Synchronizes with the store, and publishes the node's record if it is not published yet.
-async fn sync_from_store(node: &Node, is_published: &mut bool) -> Result<(), StoreError> {
+/// Synchronizes with the store. A node that is neither the reader nor one of its first deputies reads no
+/// more than it needs to find the reader. Returns whether a configuration was found.
+async fn sync_from_store(node: &Node, topology: &MetadataTopology) -> Result<bool, StoreError> {
+    let stands_in = topology.deputy_rank.is_some_and(|rank| rank < READING_DEPUTIES);
+    if !topology.is_reader() && (node.configuration.known().is_none() || !stands_in) {
+        look_up_reader(node).await?;
+        if reader_address(node).is_some() || node.configuration.known().is_none() {
+            return Ok(node.configuration.known().is_some());
+        }
+    }
+    read_store(node).await?;
+    Ok(node.configuration.known().is_some())
+}
+
+/// Reads the configuration, the records that changed, and the members if this node owns a service.
+async fn read_store(node: &Node) -> Result<(), StoreError> {
     let store = &node.dependencies.store;
     let sent_at_ms = now_ms();
     let owns_some = !lock(&node.services).is_empty();
@@ -291,18 +366,16 @@
     if let Err(StoreError::NotDone(reason)) = configuration {
         return Err(StoreError::NotDone(reason));
     }
-    let (records, members) = futures::join!(read_changed_records(node), reading_members);
     if let Ok(Some(configuration)) = &configuration {
         apply_configuration(node, configuration.clone(), sent_at_ms);
+        // Other nodes need not wait for the records.
+        node.notify_synced();
     }
+    let (records, members) = futures::join!(read_changed_records(node), reading_members);
     if let Ok(Some(members)) = members {
         node.members.update(members);
     }
-    let records = records?;
-    apply_records(node, &records, sent_at_ms);
-    if !*is_published {
-        *is_published = publish_node_record(node, &records).await;
-    }
+    apply_records(node, &records?, sent_at_ms);
     configuration.map(drop)
 }
 
@@ -365,103 +438,26 @@
                 );
             }
         }
-    } else if record.key.starts_with(NODE_PREFIX) {
-        match serde_json::from_slice::<NodeRecord>(&record.value) {
-            Ok(known) => drop(lock(&node.nodes).insert(known.name.clone(), known)),
-            Err(error) => {
-                log::warn!(
-                    event = "node_record_unreadable", key = &*record.key,
-                    error = error.to_string();
-                    "the record of a node cannot be decoded and is ignored"
-                );
-            }
-        }
     }
 }
 
-/// Writes this node's record to the store unless `records` contains it. Returns whether the store
-/// is known to hold it.
-async fn publish_node_record(node: &Node, records: &[Record]) -> bool {
-    let identity = &node.settings.identity;
-    let key = format!("{NODE_PREFIX}{}", identity.node);
-    let present = records.iter().rev().find(|record| *record.key == *key);
-    let record = NodeRecord { name: identity.node.clone(), address: identity.address };
-    lock(&node.nodes).insert(record.name.clone(), record.clone());
-    let Ok(value) = serde_json::to_vec(&record) else { return false };
-    if present.is_some_and(|present| present.value == value) {
-        return true;
-    }
-    let expected = present.map_or(0, |present| present.version);
-    let store = &node.dependencies.store;
-    match store.write_record(NODE_PARTITION, &key, &value, expected).await {
-        Ok(WriteOutcome::Written(_)) => true,
-        Ok(WriteOutcome::Conflict(Some(present))) if present.value == value => true,
-        Ok(WriteOutcome::Conflict(Some(present))) => {
-            let written = store.write_record(NODE_PARTITION, &key, &value, present.version).await;
-            matches!(written, Ok(WriteOutcome::Written(_)))
-        }
-        Ok(WriteOutcome::Conflict(None)) => false,
-        Err(error) => {
-            log::info!(
-                event = "node_record_write_failed", error = error.to_string();
-                "this node's record is not known to be written; a later round repeats the write"
-            );
-            false
-        }
+impl Node {
+    /// Returns the greatest age of metadata that this node accepts, in milliseconds.
+    fn metadata_age_limit_ms(&self) -> u64 {
+        let limit_ms = self.settings.revoke_limit_ms as f64 * MAX_METADATA_AGE_FRACTION;
+        (limit_ms as u64).max(MIN_METADATA_AGE_LIMIT_MS)
     }
-}
 
-fn digest<Content>(content: &Content) -> u64
-where
-    Content: Serialize + ?Sized,
-{
-    serde_json::to_vec(content).map_or(0, |bytes| xxh3_64(&bytes))
-}
-
-/// Returns a digest of owners and nodes. Lease renewals do not change it.
-fn owners_digest(node: &Node) -> u64 {
-    let owners: Vec<(Name, SocketAddr, bool)> = node
-        .owner_directory
-        .owners()
-        .into_iter()
-        .map(|(service, owner)| (service, owner.address, owner.is_released))
-        .collect();
-    digest(&(owners, node_records(node)))
-}
-
-fn node_records(node: &Node) -> Vec<NodeRecord> {
-    let mut nodes: Vec<NodeRecord> = lock(&node.nodes).values().cloned().collect();
-    nodes.sort_by(|left, right| left.name.cmp(&right.name));
-    nodes
-}
+    /// Tells waiting requests of other nodes that the metadata was confirmed.
+    fn notify_synced(&self) {
+        self.synced.send_modify(|count| *count += 1);
+    }
 
-impl Node {
-    /// Returns the metadata that the requesting node lacks, or `None` if this node is not the
-    /// reader or knows no configuration.
-    pub fn metadata_for(&self, request: &MetadataRequest) -> Option<MetadataUpdate> {
-        if reader_address(self).is_some() {
-            return None;
+    /// Records the result of a round of synchronization.
+    fn record_sync(&self, step: SyncStep, outcome: SyncOutcome) {
+        if outcome == SyncOutcome::Recent {
+            self.notify_synced();
+            *lock(&self.metadata_source) = Some(step);
         }
-        let known = self.configuration.known()?;
-        let has_new_owners = request.owners != owners_digest(self);
-        let members = self.members.entries();
-        let new_members = match (request.members, members) {
-            (Some(theirs), Some(entries)) if theirs != digest(&*entries) => Some(entries.to_vec()),
-            _ => None,
-        };
-        let store_clock = lock(&self.lease_table).store_clock(now_ms());
-        let has_new_configuration = request.configuration != digest(&*known.configuration);
-        Some(MetadataUpdate {
-            confirmation_age_ms: now_ms().saturating_sub(known.confirmed_at_ms),
-            configuration: has_new_configuration.then(|| (*known.configuration).clone()),
-            owners: has_new_owners.then(|| self.owner_directory.owners()),
-            nodes: has_new_owners.then(|| node_records(self)),
-            members: new_members,
-            store_clock,
-            leases: match request.wants_leases {
-                true => lock(&self.lease_table).observed_leases(now_ms()),
-                false => Vec::new(),
-            },
-        })
     }
 }
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -23,12 +24,15 @@
 use crate::member::MemberConnector;
 use crate::member::MemberPromoter;
 use crate::member_directory::MemberDirectory;
+use crate::metadata_source::SyncStep;
 use crate::metrics::Metrics;
 use crate::name::Name;
+use crate::node_directory::NodeDirectory;
 use crate::node_record::NodeRecord;
 use crate::outcome::Failure;
 use crate::outcome::Refusal;
 use crate::owner_directory::OwnerDirectory;
+use crate::placement::Placement;
 use crate::relay::Call;
 use crate::relay::CallAction;
 use crate::relay::CallReply;
@@ -64,6 +68,10 @@
     pub identity: Identity,
     /// Data centre of the node.
     pub zone: Name,
+    /// How much work the node can carry, as in [`NodeRecord::capacity`].
+    pub capacity: u32,
+    /// Addresses of nodes to ask for metadata after a start.
+    pub seeds: Vec<SocketAddr>,
     /// Time after which a withdrawn key must be rejected, in milliseconds.
     pub revoke_limit_ms: u64,
     /// Time from the stop signal until the process is killed, in milliseconds.
@@ -93,8 +101,10 @@
     pub(crate) services: Mutex<HashMap<Name, Arc<OwnedService>>>,
     pub(crate) members: Arc<MemberDirectory>,
     pub(crate) token_cache: Mutex<TokenCache>,
-    pub(crate) nodes: Mutex<HashMap<Name, NodeRecord>>,
+    pub(crate) nodes: Mutex<NodeDirectory>,
     pub(crate) records_version: Mutex<Option<(u64, u64)>>,
+    pub(crate) synced: watch::Sender<u64>,
+    pub(crate) metadata_source: Mutex<Option<SyncStep>>,
     pub(crate) refresh: Notify,
     pub(crate) lease_wakeup: Notify,
     pub(crate) tasks: TaskTracker,
@@ -107,6 +117,12 @@
 impl Node {
     /// Creates a node that owns no service and has read no configuration.
     pub fn new(settings: NodeSettings, dependencies: NodeDependencies) -> Arc<Self> {
+        let record = NodeRecord {
+            name: settings.identity.node.clone(),
+            address: settings.identity.address,
+            zone: settings.zone.clone(),
+            capacity: settings.capacity,
+        };
         Arc::new(Self {
             lease_table: Mutex::new(LeaseTable::new(settings.identity.clone())),
             settings,
@@ -118,8 +134,10 @@
             services: Mutex::default(),
             members: Arc::default(),
             token_cache: Mutex::default(),
-            nodes: Mutex::default(),
+            nodes: Mutex::new(NodeDirectory::new(record)),
             records_version: Mutex::default(),
+            synced: watch::Sender::new(0),
+            metadata_source: Mutex::default(),
             refresh: Notify::new(),
             lease_wakeup: Notify::new(),
             tasks: TaskTracker::new(),
@@ -262,6 +280,14 @@
         }
     }
 
+    /// Returns the candidates for ownership, with the number of services that each node owns.
+    pub(crate) fn placement(&self) -> Placement {
+        Placement {
+            candidates: lock(&self.nodes).candidates(),
+            loads: self.owner_directory.services_per_node(),
+        }
+    }
+
     pub(crate) fn owned(&self, service: &str) -> Option<Arc<OwnedService>> {
         lock(&self.services).get(service).cloned()
     }
--- a/core/src/owner_directory.rs
+++ b/core/src/owner_directory.rs
@@ -1,6 +1,7 @@
 //! The known owner of each service.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
@@ -8,6 +9,7 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
+use crate::digest::digest;
 use crate::name::Name;
 use crate::sync::lock;
 
@@ -67,6 +69,25 @@
         owners.iter().map(|(service, owner)| (service.clone(), owner.clone())).collect()
     }
 
+    /// Returns for each node the number of services that it owns or owned last.
+    pub fn services_per_node(&self) -> HashMap<Name, u64> {
+        let mut services = HashMap::new();
+        for owner in lock(&self.owners).values() {
+            *services.entry(owner.node.clone()).or_default() += 1;
+        }
+        services
+    }
+
+    /// Returns a digest of the owners. Renewals of their leases do not change it.
+    pub fn digest(&self) -> u64 {
+        let owners = self.owners();
+        let compared: Vec<(&Name, SocketAddr, bool)> = owners
+            .iter()
+            .map(|(service, owner)| (service, owner.address, owner.is_released))
+            .collect();
+        digest(&compared)
+    }
+
     /// Returns a receiver that is notified of each change of an owner.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -12,8 +12,6 @@
 use crate::lease_records::apply_lease;
 use crate::lease_records::configured_services;
 use crate::lease_records::lease_partition;
-use crate::lease_records::ordering_hash;
-use crate::lease_records::takeover_rank;
 use crate::lease_table::LeaseRecord;
 use crate::lease_table::LeaseWrite;
 use crate::member::MemberEntry;
@@ -25,6 +23,8 @@
 use crate::node_record::NodeRecord;
 use crate::outcome::Failure;
 use crate::owner_directory::Owner;
+use crate::placement::ordering_hash;
+use crate::placement::share_with_one_more;
 use crate::rebalancer;
 use crate::relay::LeaseOffer;
 use crate::relay::PeerReport;
@@ -45,6 +45,9 @@
 /// Longest wait for a connection to a member, or for another node to tell whether it can connect.
 const MEMBER_CHECK_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Number of nodes that are asked whether they reach a member that this node does not reach.
+const MAX_MEMBER_CHECKS: usize = 8;
+
 /// Remaining lease at which a service is offered to other nodes although the store is not known to
 /// be unreachable, in milliseconds: leaves time to finish running statements.
 const OFFER_THRESHOLD_MS: u64 = 1_200;
@@ -82,8 +85,10 @@
         }
         node.record_store_clock();
         let services = configured_services(&node);
-        let loads = lock(&node.lease_table).services_per_node();
-        let rank = |service: &Name| takeover_rank(&node, service, &loads);
+        let placement = node.placement();
+        let me = &node.settings.identity.node;
+        let is_stopping = node.is_stopping();
+        let rank = |service: &Name| (!is_stopping).then(|| placement.rank(me, service));
         let writes = lock(&node.lease_table).due_writes(now_ms(), &services, rank);
         for write in writes {
             let node = node.clone();
@@ -253,30 +258,31 @@
     }
 }
 
-/// Returns the node that should take over a service, if one is found: it reaches the store and owns
-/// the fewest services. Among equals, a stopping node chooses the one that started last, because a
+/// Returns the node that should take over a service, if one is found: it reaches the store and is the
+/// least loaded for its capacity. Among equals, a stopping node chooses the one that started last, because a
 /// rolling restart does not stop that one next. Other owners choose by a hash of the service name,
 /// so that owners that lose the store at the same moment do not all choose the same node.
 async fn find_new_owner(node: &Node, service: &Name) -> Option<Name> {
     let me = node.settings.identity.node.clone();
+    let placement = node.placement();
     let others: Vec<NodeRecord> =
-        lock(&node.nodes).values().filter(|record| record.name != me).cloned().collect();
+        placement.candidates.iter().filter(|record| record.name != me).cloned().collect();
     let status_requests = others.into_iter().map(|record| async move {
         let report = node.peers.report(record.address).await.ok()?;
         Some((record, report))
     });
     let reports: Vec<(NodeRecord, PeerReport)> =
         join_all(status_requests).await.into_iter().flatten().collect();
-    let loads = lock(&node.lease_table).services_per_node();
     let mut eligible: Vec<(NodeRecord, PeerReport)> =
         reports.into_iter().filter(|(_, report)| !report.is_stopping).collect();
     eligible.sort_by_key(|(record, report)| {
-        let load = loads.get(&record.name).copied().unwrap_or(0).max(report.owned);
+        let known = placement.loads.get(&record.name).copied().unwrap_or(0);
+        let share = share_with_one_more(known.max(report.owned), record.capacity);
         let order = match node.is_stopping() {
             true => report.uptime_ms,
             false => ordering_hash(service, &record.name),
         };
-        (!report.has_recent_confirmation(), load, order)
+        (!report.has_recent_confirmation(), share, order)
     });
     eligible.truncate(NEW_OWNER_CANDIDATES);
     let store_checks = eligible.into_iter().map(|(record, _)| async move {
@@ -416,7 +422,8 @@
 
     /// Returns whether the store answers a read by this node in time.
     pub async fn reaches_store(&self) -> bool {
-        let after = lock(&self.records_version).map_or(0, |(version, _)| version);
+        let newest = lock(&self.lease_table).newest_version();
+        let after = lock(&self.records_version).map_or(newest, |(version, _)| version);
         let reading = self.dependencies.store.read_changes(after);
         matches!(tokio::time::timeout(STORE_CHECK_TIMEOUT, reading).await, Ok(Ok(_)))
     }
@@ -479,21 +486,17 @@
     }
 
     async fn find_node_reaching(&self, service: &Name, member: SocketAddr) -> Option<Name> {
-        let me = self.settings.identity.node.clone();
-        let others: Vec<NodeRecord> =
-            lock(&self.nodes).values().filter(|record| record.name != me).cloned().collect();
+        let me = &self.settings.identity.node;
+        let placement = self.placement();
+        let mut others = placement.takeover_order(service);
+        others.retain(|record| record.name != *me);
+        others.truncate(MAX_MEMBER_CHECKS);
         let checks = others.into_iter().map(|record| async move {
             let check = self.peers.reaches_member(record.address, service.clone(), member);
             let reached = tokio::time::timeout(MEMBER_CHECK_TIMEOUT, check).await;
-            (record.name, matches!(reached, Ok(Ok(true))))
+            matches!(reached, Ok(Ok(true))).then(|| record.name.clone())
         });
-        let reached: Vec<Name> = join_all(checks)
-            .await
-            .into_iter()
-            .filter_map(|(name, is_reached)| is_reached.then_some(name))
-            .collect();
-        let loads = lock(&self.lease_table).services_per_node();
-        reached.into_iter().min_by_key(|name| loads.get(name).copied().unwrap_or(0))
+        join_all(checks).await.into_iter().flatten().next()
     }
 
     fn request_handover(&self, service: &Name, new_owner: Option<Name>, reason: &str) {
--- a/core/src/rebalancer.rs
+++ b/core/src/rebalancer.rs
@@ -1,4 +1,4 @@
-//! Hands services over while this node owns more of them than other nodes.
+//! Hands services over while this node carries more of them, for its capacity, than other nodes.
 //!
 //! Services accumulate on the nodes that took them over after failures, and a restarted node takes
 //! its former services back. An owner of several busy services answers late, so that other nodes
@@ -12,8 +12,7 @@
 use crate::clock::now_ms;
 use crate::name::Name;
 use crate::node::Node;
-use crate::rebalance_policy::candidates;
-use crate::rebalance_policy::is_imbalanced;
+use crate::placement::should_move;
 use crate::service::OwnedService;
 use crate::sync::lock;
 
@@ -24,7 +23,7 @@
 /// the same target at the same time.
 const JITTER_MS: u64 = 1_000;
 
-/// Periodically hands a service over to a node that owns fewer services.
+/// Periodically hands a service over to a node that carries less.
 pub(crate) async fn rebalance_services(node: Arc<Node>) {
     let me = node.settings.identity.node.clone();
     for round in 0_u64.. {
@@ -40,40 +39,32 @@
         if let Some(service) = movable_service(&node)
             && let Some(new_owner) = find_less_loaded_node(&node, round).await
         {
-            service.request_handover(Some(new_owner), "this node owns more services than others");
+            service.request_handover(Some(new_owner), "this node carries more than others");
         }
     }
 }
 
-/// Returns the stable service with the fewest open transactions, if this node owns several.
+/// Returns the stable service with the fewest open transactions.
 fn movable_service(node: &Node) -> Option<Arc<OwnedService>> {
     let now_ms = now_ms();
     let services = lock(&node.services);
-    if services.len() < 2 {
-        return None;
-    }
     let movable = services.values().filter(|service| service.is_stable(now_ms));
     movable.min_by_key(|service| service.open_transactions()).cloned()
 }
 
-/// Returns a node that owns fewer services, has recently confirmed its configuration and reaches
-/// the store.
+/// Returns a node that carries less, has recently confirmed its configuration and reaches the store.
 async fn find_less_loaded_node(node: &Node, round: u64) -> Option<Name> {
-    let me = &node.settings.identity.node;
+    let me = lock(&node.nodes).me().clone();
     let mine = lock(&node.services).len() as u64;
-    let names: Vec<Name> = lock(&node.nodes).keys().cloned().collect();
-    let mut loads = lock(&node.lease_table).services_per_node();
-    loads.insert(me.clone(), mine);
-    for name in candidates(me, &names, &loads, round) {
-        let Some(address) = lock(&node.nodes).get(&name).map(|record| record.address) else {
-            continue;
-        };
-        let Ok(report) = node.peers.report(address).await else { continue };
+    let mut placement = node.placement();
+    placement.loads.insert(me.name.clone(), mine);
+    for target in placement.move_targets(&me, round) {
+        let Ok(report) = node.peers.report(target.address).await else { continue };
         let is_fit = report.has_recent_confirmation()
             && !report.is_stopping
-            && is_imbalanced(mine, report.owned);
-        if is_fit && node.peers.reaches_store(address).await == Ok(true) {
-            return Some(name);
+            && should_move(mine, me.capacity, report.owned, target.capacity);
+        if is_fit && node.peers.reaches_store(target.address).await == Ok(true) {
+            return Some(target.name);
         }
     }
     None
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::log_position::LogPosition;
 use crate::member::MemberEntry;
 use crate::name::Name;
+use crate::node_record::HeardNode;
 use crate::node_record::NodeRecord;
 use crate::outcome::Answer;
 use crate::outcome::Refusal;
@@ -175,16 +176,23 @@
 }
 
 /// A request for metadata, with digests of what the requesting node has already.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MetadataRequest {
+    /// The requesting node.
+    pub sender: NodeRecord,
+    /// Time since its configuration was last confirmed as the newest, in milliseconds. The answer may
+    /// be held back until there is something newer.
+    pub confirmation_age_ms: Option<u64>,
     /// Digest of its configuration.
     pub configuration: u64,
-    /// Digest of its lists of owners and nodes.
+    /// Digest of its list of owners.
     pub owners: u64,
+    /// Digest of its list of candidates; `None` if it needs the whole list.
+    pub candidates: Option<u64>,
     /// Digest of its list of members; `None` if it needs no members.
     pub members: Option<u64>,
-    /// Whether it needs the leases, to take over one that expires.
-    pub wants_leases: bool,
+    /// Services whose leases it needs, to take over one that expires.
+    pub leases: Vec<Name>,
 }
 
 /// Metadata that the requesting node lacks.
@@ -194,15 +202,15 @@
     pub confirmation_age_ms: u64,
     /// The configuration, if it differs.
     pub configuration: Option<Configuration>,
-    /// The owners of services, if they or the nodes differ.
+    /// The owners of services, if they differ.
     pub owners: Option<Vec<(Name, Owner)>>,
-    /// The nodes, if they or the owners differ.
-    pub nodes: Option<Vec<NodeRecord>>,
+    /// The candidates for ownership, if they differ or were requested.
+    pub candidates: Option<Vec<HeardNode>>,
     /// The list of members, if it differs.
     pub members: Option<Vec<MemberEntry>>,
     /// Bounds of the store's clock.
     pub store_clock: Option<ClockBounds>,
-    /// The leases, if they were requested.
+    /// The requested leases.
     pub leases: Vec<ObservedLease>,
 }
 
@@ -219,8 +227,8 @@
     async fn offer_lease(offer: LeaseOffer) -> Option<Owner>;
     /// Activates the node's ownership of a service after the previous owner has closed it.
     async fn activate(service: Name);
-    /// Returns the metadata that the requesting node lacks; `None` if the node is not the one that
-    /// reads the store.
+    /// Returns the metadata that the requesting node lacks, at once if there is any, or else when there
+    /// is some or after a while; `None` if the node knows no configuration.
     async fn fetch_metadata(request: MetadataRequest) -> Option<MetadataUpdate>;
     /// Takes rate-limit tokens of a tenant from the owner of the tenant's home service.
     async fn take_tokens(tenant: Name, count: u32) -> Option<TokenGrant>;
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::now_ms;
+use crate::metadata_server::METADATA_HOLD_MS;
 use crate::name::Name;
 use crate::owner_directory::Owner;
 use crate::relay::Call;
@@ -50,6 +51,9 @@
 /// Longest wait for the answer to a call that runs no statement.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest wait for metadata: the answer may be held back for [`METADATA_HOLD_MS`].
+const METADATA_TIMEOUT: Duration = Duration::from_millis(METADATA_HOLD_MS + 400);
+
 /// Longest wait for another node to acquire an offered lease, for which it writes to the store.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -282,7 +286,9 @@
         request: MetadataRequest,
     ) -> Result<Option<MetadataUpdate>, RelayError> {
         let client = self.client(address).await?;
-        let calling = client.fetch_metadata(control_context(), request);
+        let mut context = context::current();
+        context.deadline = Instant::now() + METADATA_TIMEOUT;
+        let calling = client.fetch_metadata(context, request);
         let answered = calling.await.map_err(|error| self.disconnect(address, &error))?;
         self.record_answer(address);
         Ok(answered)
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -71,7 +71,7 @@
     }
 
     async fn fetch_metadata(self, _: Context, request: MetadataRequest) -> Option<MetadataUpdate> {
-        self.node.metadata_for(&request)
+        self.node.metadata_for(request).await
     }
 
     async fn take_tokens(self, _: Context, tenant: Name, count: u32) -> Option<TokenGrant> {
--- a/core/tests/core/test_cluster.rs
+++ b/core/tests/core/test_cluster.rs
@@ -101,6 +101,8 @@
                 incarnation: ownership::new_incarnation(),
             },
             zone: "almaty-a".into(),
+            capacity: 250,
+            seeds: Vec::new(),
             revoke_limit_ms: REVOKE_LIMIT_MS,
             grace_ms: 2_000,
         };
