Count connections and transactions by guards

Cause: a grant's connection was counted before it was opened. If the caller went away while it was being opened, the count stayed one too high for good; a transaction's grant that nobody took lowered the count though none was counted, so that more connections were opened than a member allows. A dropped statement of a transaction stayed counted as running, and closing a service waited its whole limit for it.

Change: GrantGuard gives a connection or its count back unless it was borrowed; the grant says whether it is counted; RunningTransaction counts by its life.

Seen failing first: two of the three tests in connection_counts (3 connections counted instead of 1; one transaction left running). The third, a transaction that waits for a slot, passed before: its wrong count needs a closing service.

Ruled out: counting at the opening of a connection, which would let several requests pass the limit at once.

Test that failed on the way: a_read_whose_answer_is_lost_is_served_by_another _member, once, when the stand-in paused 1 ms before each connection: with four injected faults a read that meets all four fails. Without that pause 0 of 30.

--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -33,10 +33,10 @@
 use crate::member_directory::MemberDirectory;
 use crate::metrics::Metrics;
 use crate::name::Name;
+use crate::service::borrowed::GrantGuard;
 use crate::service::borrowed::SlotGuard;
 use crate::service::connection::PooledConnection;
 use crate::service::idle_transactions::MemberTransaction;
-use crate::service::pool::Grant;
 use crate::service::pool::Pool;
 use crate::service::pool::SlotRequest;
 pub(crate) use crate::service::probe::SYSTEM_TENANT;
@@ -134,10 +134,10 @@
     tasks: TaskTracker,
 }
 
-/// A granted slot, released when it is dropped, and a connection if the pool had one.
+/// A granted slot, released when it is dropped, and the right to a connection.
 struct AcquiredSlot {
     slot: SlotGuard,
-    grant: Grant<PooledConnection>,
+    grant: GrantGuard,
 }
 
 impl OwnedService {
@@ -344,22 +344,10 @@
         drop(surplus);
         for (ticket, grant) in grants {
             let slot = SlotGuard::new(self.clone(), grant.member.key.clone());
-            let Some(sender) = lock(&self.grant_senders).remove(&ticket) else {
-                self.return_grant(grant);
-                continue;
-            };
-            if let Err(granted) = sender.send(AcquiredSlot { slot, grant }) {
-                self.return_grant(granted.grant);
-            }
-        }
-    }
-
-    /// Takes back the connection of a grant whose statement no longer waits for it.
-    fn return_grant(&self, grant: Grant<PooledConnection>) {
-        let mut pool = lock(&self.pool);
-        match grant.connection {
-            Some(connection) => drop(pool.return_connection(&grant.member.key, connection)),
-            None => pool.connection_closed(&grant.member.key),
+            let grant = GrantGuard::new(self.clone(), grant);
+            let sender = lock(&self.grant_senders).remove(&ticket);
+            // A grant that nobody waits for any more is dropped, which gives everything back.
+            let _ = sender.map(|sender| sender.send(AcquiredSlot { slot, grant }).is_ok());
         }
     }
 
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -1,6 +1,7 @@
 //! Guards that release a slot, or close a connection that was not returned, when they are dropped.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
@@ -13,6 +14,7 @@
 use crate::member::MemberReply;
 use crate::service::OwnedService;
 use crate::service::connection::PooledConnection;
+use crate::service::pool::Grant;
 use crate::sync::lock;
 
 /// A slot of a member for one statement, released when dropped.
@@ -35,6 +37,66 @@
     }
 }
 
+/// A grant whose connection is returned to the pool, or no longer counted, when it is dropped before the
+/// connection is borrowed.
+pub(super) struct GrantGuard {
+    service: Arc<OwnedService>,
+    grant: Option<Grant<PooledConnection>>,
+}
+
+impl GrantGuard {
+    /// Wraps a grant.
+    pub(super) fn new(service: Arc<OwnedService>, grant: Grant<PooledConnection>) -> Self {
+        Self { service, grant: Some(grant) }
+    }
+
+    /// Returns the grant, if it was not borrowed yet.
+    pub(super) fn grant(&mut self) -> Option<&mut Grant<PooledConnection>> {
+        self.grant.as_mut()
+    }
+
+    /// Borrows `connection`, which the grant contained or allowed to open. Returns `None` if it was
+    /// borrowed already.
+    pub(super) fn borrow(mut self, connection: PooledConnection) -> Option<BorrowedConnection> {
+        let grant = self.grant.take()?;
+        let connection = Some(connection);
+        let service = self.service.clone();
+        Some(BorrowedConnection { service, member: grant.member, connection, down: grant.down })
+    }
+}
+
+impl Drop for GrantGuard {
+    fn drop(&mut self) {
+        let Some(grant) = self.grant.take() else { return };
+        let key = &grant.member.key;
+        let mut pool = lock(&self.service.pool);
+        match grant.connection {
+            Some(connection) => drop(pool.return_connection(key, connection)),
+            None if grant.is_counted => pool.connection_closed(key),
+            None => {}
+        }
+    }
+}
+
+/// Counts a running transaction until it is dropped.
+pub(super) struct RunningTransaction {
+    service: Arc<OwnedService>,
+}
+
+impl RunningTransaction {
+    /// Counts one more running transaction.
+    pub(super) fn new(service: Arc<OwnedService>) -> Self {
+        service.running_transactions.fetch_add(1, Ordering::AcqRel);
+        Self { service }
+    }
+}
+
+impl Drop for RunningTransaction {
+    fn drop(&mut self) {
+        self.service.running_transactions.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// A connection taken from the pool. It is closed when dropped without being returned, because its
 /// state is unknown after an incomplete exchange.
 pub(super) struct BorrowedConnection {
@@ -42,21 +104,11 @@
     /// Member that it is connected to.
     pub(super) member: Arc<MemberEntry>,
     connection: Option<PooledConnection>,
+    /// Cancelled when a probe of the member fails or the member is no longer listed.
     down: CancellationToken,
 }
 
 impl BorrowedConnection {
-    /// Wraps a granted connection. `down` is cancelled when a probe of the member fails or the
-    /// member is no longer listed.
-    pub(super) fn new(
-        service: Arc<OwnedService>,
-        member: Arc<MemberEntry>,
-        connection: PooledConnection,
-        down: CancellationToken,
-    ) -> Self {
-        Self { service, member, connection: Some(connection), down }
-    }
-
     /// Returns the connection, or `None` if it was closed after an error.
     pub(super) fn connection(&mut self) -> Option<&mut PooledConnection> {
         self.connection.as_mut()
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -69,9 +69,11 @@
     pub member: Arc<MemberEntry>,
     /// Whether it is the primary.
     pub is_primary: bool,
-    /// Idle connection of the tenant. If it is `None`, the caller opens one, which the pool has
-    /// counted already. A statement of an open transaction uses that transaction's connection.
+    /// Idle connection of the tenant. If it is `None`, the caller opens one, unless it uses the
+    /// connection of an open transaction.
     pub connection: Option<Conn>,
+    /// Whether the pool counts a connection for this grant: the idle one, or the one to be opened.
+    pub is_counted: bool,
     /// Cancelled when a probe of the member fails, or when the member is no longer listed.
     pub down: CancellationToken,
 }
@@ -366,7 +368,8 @@
             SlotTarget::Transaction(_) => None,
             _ => member.take_idle(&request.tenant),
         };
-        if connection.is_none() && !matches!(request.target, SlotTarget::Transaction(_)) {
+        let is_counted = !matches!(request.target, SlotTarget::Transaction(_));
+        if connection.is_none() && is_counted {
             if member.open_connections >= limit && !member.idle_connections.is_empty() {
                 surplus.push(member.idle_connections.remove(0));
                 member.open_connections -= 1;
@@ -377,6 +380,7 @@
             member: member.entry.clone(),
             is_primary,
             connection,
+            is_counted,
             down: member.down.clone(),
         };
         Some(grant)
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -173,7 +173,8 @@
             objective_at_ms: timed.objective_at_ms,
             priority: call.priority,
         };
-        let Some(AcquiredSlot { slot, grant }) = self.acquire(request, timed.queue_until_ms).await
+        let Some(AcquiredSlot { slot, mut grant }) =
+            self.acquire(request, timed.queue_until_ms).await
         else {
             return match self.is_open() {
                 true => AttemptOutcome::Final(refusal_reply(
@@ -183,33 +184,38 @@
                 false => AttemptOutcome::Final(CallReply::NotOwner { owner: None }),
             };
         };
-        let is_primary = grant.is_primary;
-        let mut connection = grant.connection;
+        let Some(granted) = grant.grant() else {
+            return AttemptOutcome::Final(refusal_reply(
+                Failure::Busy,
+                "the grant was used already",
+            ));
+        };
+        let is_primary = granted.is_primary;
+        let member = granted.member.clone();
+        let mut connection = granted.connection.take();
         // A write on a connection that the member has closed would have an unknown outcome.
         if connection.as_mut().is_some_and(|connection| connection.inner.is_closed()) {
             connection = None;
-            self.suspect_member(&grant.member.key, "the member closed an idle connection");
+            self.suspect_member(&member.key, "the member closed an idle connection");
         }
-        let mut borrowed = match connection {
-            Some(connection) => {
-                BorrowedConnection::new(self.clone(), grant.member.clone(), connection, grant.down)
-            }
-            None => {
-                let connecting = self.context.connector.connect(&grant.member, &call.tenant).await;
-                match connecting {
-                    Ok(inner) => {
-                        self.context.metrics.record_connection();
-                        let connection = PooledConnection::new(inner, call.tenant.clone());
-                        BorrowedConnection::new(
-                            self.clone(),
-                            grant.member.clone(),
-                            connection,
-                            grant.down,
-                        )
-                    }
-                    Err(error) => return self.handle_connect_failure(&grant.member.key, &error),
+        let connection = match connection {
+            Some(connection) => connection,
+            None => match self.context.connector.connect(&member, &call.tenant).await {
+                Ok(inner) => {
+                    self.context.metrics.record_connection();
+                    PooledConnection::new(inner, call.tenant.clone())
                 }
-            }
+                Err(error) => {
+                    drop(grant);
+                    return self.handle_connect_failure(&member.key, &error);
+                }
+            },
+        };
+        let Some(mut borrowed) = grant.borrow(connection) else {
+            return AttemptOutcome::Final(refusal_reply(
+                Failure::Busy,
+                "the grant was used already",
+            ));
         };
         if !self.has_valid_lease() {
             borrowed.return_to_pool();
@@ -252,11 +258,7 @@
     }
 
     fn handle_connect_failure(&self, member: &MemberKey, error: &MemberError) -> AttemptOutcome {
-        {
-            let mut pool = lock(&self.pool);
-            pool.connection_closed(member);
-            pool.pause_connecting(now_ms(), member);
-        }
+        lock(&self.pool).pause_connecting(now_ms(), member);
         log::info!(
             event = "member_connect_failed", service = &*self.name, member = &*member.id,
             error = error.to_string(); ""
--- a/core/src/service/transactions.rs
+++ b/core/src/service/transactions.rs
@@ -1,7 +1,6 @@
 //! Starts, runs and ends transactions at members.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use crate::clock::now_ms;
 use crate::log_position::LogPosition;
@@ -18,6 +17,7 @@
 use crate::relay::CallReply;
 use crate::service::OwnedService;
 use crate::service::borrowed::BorrowedConnection;
+use crate::service::borrowed::RunningTransaction;
 use crate::service::borrowed::SlotGuard;
 use crate::service::idle_transactions::MemberTransaction;
 use crate::service::pool::SlotRequest;
@@ -77,9 +77,8 @@
             }
         }
         let transaction = MemberTransaction { borrowed, has_written: false, used_at_ms: now_ms() };
-        self.running_transactions.fetch_add(1, Ordering::AcqRel);
+        let _running = RunningTransaction::new(self.clone());
         let reply = self.run_action(timed, None, transaction, Some(slot)).await;
-        self.running_transactions.fetch_sub(1, Ordering::AcqRel);
         AttemptOutcome::Final(reply)
     }
 
@@ -99,10 +98,8 @@
             self.roll_back(transaction);
             return CallReply::Done { answer: Answer::local(), transaction: None };
         }
-        self.running_transactions.fetch_add(1, Ordering::AcqRel);
-        let reply = self.run_action(&timed, Some(number), transaction, None).await;
-        self.running_transactions.fetch_sub(1, Ordering::AcqRel);
-        reply
+        let _running = RunningTransaction::new(self.clone());
+        self.run_action(&timed, Some(number), transaction, None).await
     }
 
     /// Runs a statement or commit in an open transaction. It is repeated until the deadline while
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod commit_histories;
 mod configurations;
+mod connection_counts;
 mod failovers;
 mod leases;
 mod metadata_sources;
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -56,6 +56,8 @@
     connections: AtomicU64,
     /// Time until a promotion takes effect, in milliseconds.
     pub promotion_ms: AtomicU64,
+    /// Time that a new connection takes, in milliseconds.
+    pub connect_ms: AtomicU64,
 }
 
 impl StandInGroup {
@@ -91,6 +93,7 @@
             promotions: Mutex::default(),
             connections: AtomicU64::new(0),
             promotion_ms: AtomicU64::new(0),
+            connect_ms: AtomicU64::new(0),
         })
     }
 
@@ -190,6 +193,10 @@
         member: &MemberEntry,
         _: &str,
     ) -> Result<Box<dyn MemberConnection>, MemberError> {
+        let connect_ms = self.0.connect_ms.load(Ordering::Acquire);
+        if connect_ms > 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(connect_ms)).await;
+        }
         let members = self.0.members.lock().expect("the mutex is not poisoned");
         let (_, state) = &members[&member.address];
         if !state.is_up {
