Compress messages between data centres as one stream per connection

Each relayed statement repeats its service, tenant and values, and content takes eight bits a letter.

Connections within a data centre stay as they were.

Ruled out: each message compressed by itself, since the names are what repeats; a table of names agreed on a connection, which leaves the content as it is.

Tests: relay_formats (sizes, order, malformed and oversized messages).

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -101,7 +101,7 @@
     pub(crate) services: Mutex<HashMap<Name, Arc<OwnedService>>>,
     pub(crate) members: Arc<MemberDirectory>,
     pub(crate) token_cache: Mutex<TokenCache>,
-    pub(crate) nodes: Mutex<NodeDirectory>,
+    pub(crate) nodes: Arc<Mutex<NodeDirectory>>,
     pub(crate) records_version: Mutex<Option<(u64, u64)>>,
     pub(crate) synced: watch::Sender<u64>,
     pub(crate) metadata_source: Mutex<Option<SyncStep>>,
@@ -123,6 +123,7 @@
             zone: settings.zone.clone(),
             capacity: settings.capacity,
         };
+        let nodes = Arc::new(Mutex::new(NodeDirectory::new(record)));
         Arc::new(Self {
             lease_table: Mutex::new(LeaseTable::new(settings.identity.clone())),
             settings,
@@ -130,11 +131,11 @@
             configuration: Arc::default(),
             metrics: Arc::default(),
             owner_directory: OwnerDirectory::default(),
-            peers: PeerPool::default(),
+            peers: PeerPool::new(nodes.clone()),
             services: Mutex::default(),
             members: Arc::default(),
             token_cache: Mutex::default(),
-            nodes: Mutex::new(NodeDirectory::new(record)),
+            nodes,
             records_version: Mutex::default(),
             synced: watch::Sender::new(0),
             metadata_source: Mutex::default(),
--- a/core/src/node_directory.rs
+++ b/core/src/node_directory.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -111,6 +112,12 @@
         }
     }
 
+    /// Returns whether the node with this address is known to be in another data centre.
+    pub fn is_in_other_zone(&self, address: SocketAddr) -> bool {
+        let mut others = self.heard.values().map(|(record, _)| record);
+        others.any(|record| record.address == address && record.zone != self.me.zone)
+    }
+
     /// Returns a digest of the candidates.
     pub fn digest(&self) -> u64 {
         let mut text = String::new();
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -2,6 +2,7 @@
 //! and rate-limit tokens.
 
 mod client;
+pub mod format;
 mod server;
 
 use std::net::SocketAddr;
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,7 +13,6 @@
 use tarpc::client::RpcError;
 use tarpc::context;
 use tarpc::serde_transport;
-use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +20,7 @@
 use crate::clock::now_ms;
 use crate::metadata_server::METADATA_HOLD_MS;
 use crate::name::Name;
+use crate::node_directory::NodeDirectory;
 use crate::owner_directory::Owner;
 use crate::relay::Call;
 use crate::relay::CallReply;
@@ -28,6 +29,8 @@
 use crate::relay::MetadataUpdate;
 use crate::relay::PeerReport;
 use crate::relay::RelayClient;
+use crate::relay::format::MAX_MESSAGE_BYTES;
+use crate::relay::format::RelayFormat;
 use crate::sync::lock;
 use crate::tenant_rates::TokenGrant;
 
@@ -51,16 +54,15 @@
 /// Longest wait for the answer to a call that runs no statement.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest wait for a connection over which metadata is requested, since another node can be asked.
+const METADATA_CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+
 /// Longest wait for metadata: the answer may be held back for [`METADATA_HOLD_MS`].
 const METADATA_TIMEOUT: Duration = Duration::from_millis(METADATA_HOLD_MS + 400);
 
 /// Longest wait for another node to acquire an offered lease, for which it writes to the store.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Largest frame between nodes, in bytes: leaves ample room for a message of 1 MiB and the fields
-/// around it.
-pub(crate) const MAX_FRAME_BYTES: usize = 4 << 20;
-
 /// Why a call to a node returned no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RelayError {
@@ -81,7 +83,7 @@
 
 /// Returns the frame codec of the protocol between nodes.
 pub(crate) fn frame_codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+    LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec()
 }
 
 /// Sets the socket options that close a connection whose peer no longer responds.
@@ -112,14 +114,27 @@
 }
 
 /// Connections to other nodes: one per node, opened on demand.
-#[derive(Default)]
 pub struct PeerPool {
     connections: Mutex<HashMap<SocketAddr, PeerConnection>>,
+    nodes: Arc<Mutex<NodeDirectory>>,
 }
 
 impl PeerPool {
+    /// Creates a pool without connections. `nodes` tells which nodes are in the same data centre.
+    pub fn new(nodes: Arc<Mutex<NodeDirectory>>) -> Self {
+        Self { connections: Mutex::default(), nodes }
+    }
+
     /// Returns the client for a node, and connects first if there is no connection.
     async fn client(&self, address: SocketAddr) -> Result<RelayClient, RelayError> {
+        self.client_within(address, CONNECT_TIMEOUT).await
+    }
+
+    async fn client_within(
+        &self,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<RelayClient, RelayError> {
         {
             let mut connections = lock(&self.connections);
             let connection = connections.entry(address).or_default();
@@ -134,7 +149,7 @@
                 connection.connect_after_ms = now_ms + CONNECT_TIMEOUT.as_millis() as u64;
             }
         }
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let connecting = tokio::time::timeout(connect_timeout, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(RelayError::NotSent(error.to_string())),
@@ -145,7 +160,8 @@
         };
         detect_dead_peer(&stream).map_err(|error| RelayError::NotSent(error.to_string()))?;
         let framed = tarpc::tokio_util::codec::Framed::new(stream, frame_codec());
-        let transport = serde_transport::new(framed, Bincode::default());
+        let is_remote = lock(&self.nodes).is_in_other_zone(address);
+        let transport = serde_transport::new(framed, RelayFormat::new(is_remote));
         let client = RelayClient::new(tarpc::client::Config::default(), transport).spawn();
         let mut connections = lock(&self.connections);
         let connection = connections.entry(address).or_default();
@@ -285,7 +301,7 @@
         address: SocketAddr,
         request: MetadataRequest,
     ) -> Result<Option<MetadataUpdate>, RelayError> {
-        let client = self.client(address).await?;
+        let client = self.client_within(address, METADATA_CONNECT_TIMEOUT).await?;
         let mut context = context::current();
         context.deadline = Instant::now() + METADATA_TIMEOUT;
         let calling = client.fetch_metadata(context, request);
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -10,7 +10,6 @@
 use tarpc::serde_transport;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
-use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
@@ -28,6 +27,7 @@
 use crate::relay::Relay;
 use crate::relay::client::detect_dead_peer;
 use crate::relay::client::frame_codec;
+use crate::relay::format::RelayFormat;
 use crate::sync::lock;
 use crate::tenant_rates::TokenGrant;
 
@@ -116,7 +116,7 @@
         return;
     }
     let framed = tarpc::tokio_util::codec::Framed::new(stream, frame_codec());
-    let transport = serde_transport::new(framed, Bincode::default());
+    let transport = serde_transport::new(framed, RelayFormat::new(false));
     let server = PeerServer { node: node.clone(), transactions: Arc::default() };
     let tracker = TaskTracker::new();
     let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -10,6 +10,7 @@
 mod placements;
 mod pools;
 mod rates;
+mod relay_formats;
 mod session_rules;
 mod soak;
 mod stand_in;
