--- a/core/src/metadata_server.rs
+++ b/core/src/metadata_server.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::now_ms;
+use crate::name::Name;
 use crate::node::Node;
 use crate::relay::MetadataRequest;
 use crate::relay::MetadataUpdate;
@@ -55,17 +56,23 @@
         let candidates =
             (request.candidates != Some(nodes.digest())).then(|| nodes.heard_candidates(now_ms));
         drop(nodes);
+        // A node that has just started does not know which services its former process owned.
+        let owners = self.owner_directory.owners();
+        let owned = owners.iter().filter(|(_, owner)| owner.address == request.sender.address);
+        let mut needed: Vec<Name> = owned.map(|(service, _)| service.clone()).collect();
+        needed.extend(request.leases.iter().cloned());
+        needed.sort();
+        needed.dedup();
         let leases = lock(&self.lease_table);
         Some(MetadataUpdate {
             confirmation_age_ms: now_ms.saturating_sub(known.confirmed_at_ms),
             configuration: (request.configuration != known.digest)
                 .then(|| (*known.configuration).clone()),
-            owners: (request.owners != self.owner_directory.digest())
-                .then(|| self.owner_directory.owners()),
+            owners: (request.owners != self.owner_directory.digest()).then_some(owners),
             candidates,
             members: new_members,
             store_clock: leases.store_clock(now_ms),
-            leases: leases.observed_leases(now_ms, &request.leases),
+            leases: leases.observed_leases(now_ms, &needed),
         })
     }
 }
--- a/core/src/metadata_source.rs
+++ b/core/src/metadata_source.rs
@@ -27,6 +27,15 @@
 const OTHERS_DELAY_MS: u64 = 2_000;
 const OTHERS_SPREAD_MS: u64 = 1_800;
 
+/// The same for a node that has just started and knows no reader, in milliseconds: the seeds answer
+/// earlier, if they run.
+const START_DELAY_MS: u64 = 100;
+const START_SPREAD_MS: u64 = 500;
+
+/// Time for which a seed that did not answer is not asked again by such a node, in milliseconds: after a
+/// loss of all nodes the seeds start at about the same time.
+const SEED_PAUSE_MS: u64 = 100;
+
 /// Shortest and longest time between two reads of the store by a node that is not the reader, in
 /// milliseconds. It doubles with each failure, so that many nodes do not keep the store overloaded.
 const MIN_STORE_RETRY_MS: u64 = 1_000;
@@ -55,10 +64,14 @@
         self.reader.is_some() && self.reader == self.me
     }
 
+    /// Returns whether the settings name this node as one that others ask after a start.
+    pub fn is_seed(&self) -> bool {
+        self.me.is_some_and(|me| self.seeds.contains(&me))
+    }
+
     /// Returns whether no reader is known and this node is one of those that look for it in the store.
     fn must_look_up_reader(&self) -> bool {
-        let is_seed = self.me.is_some_and(|me| self.seeds.contains(&me));
-        self.reader.is_none() && (self.seeds.is_empty() || is_seed)
+        self.reader.is_none() && (self.seeds.is_empty() || self.is_seed())
     }
 }
 
@@ -93,6 +106,7 @@
     store_failures: u32,
     store_retry_at_ms: u64,
     asked_seeds: usize,
+    knows_reader: bool,
 }
 
 impl MetadataSource {
@@ -106,11 +120,13 @@
             store_failures: 0,
             store_retry_at_ms: 0,
             asked_seeds: jitter as usize % 97,
+            knows_reader: false,
         }
     }
 
     /// Returns what to do now.
     pub fn next(&mut self, now_ms: u64, topology: &MetadataTopology) -> SyncStep {
+        self.knows_reader = topology.reader.is_some();
         if topology.is_reader() {
             return SyncStep::ReadStore;
         }
@@ -145,7 +161,10 @@
 
     /// Returns after which time without recent metadata this node reads the store, in milliseconds.
     fn store_delay_ms(&self, topology: &MetadataTopology) -> u64 {
-        let others_ms = OTHERS_DELAY_MS + self.jitter % OTHERS_SPREAD_MS;
+        let others_ms = match topology.reader {
+            Some(_) => OTHERS_DELAY_MS + self.jitter % OTHERS_SPREAD_MS,
+            None => START_DELAY_MS + self.jitter % START_SPREAD_MS,
+        };
         topology
             .deputy_rank
             .map_or(others_ms, |rank| others_ms.min(FIRST_DEPUTY_DELAY_MS + rank * DEPUTY_STEP_MS))
@@ -162,6 +181,7 @@
             }
             (SyncStep::Ask(address), outcome) => {
                 let pause_ms = match outcome {
+                    SyncOutcome::Failed if !self.knows_reader => SEED_PAUSE_MS,
                     SyncOutcome::Failed => UNANSWERED_PAUSE_MS,
                     _ => OUTDATED_PAUSE_MS,
                 };
--- a/core/src/metadata_sync.rs
+++ b/core/src/metadata_sync.rs
@@ -37,9 +37,12 @@
 /// configuration must be confirmed again before it is too old to act on.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Interval after a failed round, and while the reader sees a lease that is overdue.
+/// Interval after a failed read of the store, and while the reader sees a lease that is overdue.
 const URGENT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval after a node had no recent metadata, before another one is asked.
+const NEXT_SOURCE_INTERVAL: Duration = Duration::from_millis(30);
+
 /// Shortest time between two requests for metadata. The asked node holds its answer back while it has
 /// nothing new.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(300);
@@ -100,12 +103,15 @@
         source.record(now_ms(), step, outcome);
         node.record_sync(step, outcome);
         node.lease_wakeup.notify_one();
-        let is_urgent =
-            outcome != SyncOutcome::Recent || (topology.is_reader() && has_overdue_lease(&node));
-        let interval = match step {
-            _ if is_urgent => URGENT_INTERVAL,
-            SyncStep::ReadStore if topology.is_reader() => READ_INTERVAL,
-            _ => MIN_ASK_INTERVAL,
+        let is_reader = topology.is_reader();
+        let interval = match (step, outcome) {
+            (SyncStep::Ask(_), SyncOutcome::Recent) => MIN_ASK_INTERVAL,
+            (SyncStep::Ask(_) | SyncStep::Wait, _) => NEXT_SOURCE_INTERVAL,
+            (SyncStep::ReadStore, SyncOutcome::Recent) if !is_reader => NEXT_SOURCE_INTERVAL,
+            (SyncStep::ReadStore, SyncOutcome::Recent) if !has_overdue_lease(&node) => {
+                READ_INTERVAL
+            }
+            (SyncStep::ReadStore, _) => URGENT_INTERVAL,
         };
         tokio::select! {
             () = node.stop.cancelled() => return,
@@ -136,12 +142,13 @@
 }
 
 /// Waits until `interval` after the start of a round, or until a refresh is requested, but at least
-/// until [`URGENT_INTERVAL`] after that start.
+/// until [`URGENT_INTERVAL`] after that start if the interval is longer.
 async fn wait_for_round(node: &Node, started_at_ms: u64, interval: Duration) {
     let spent = Duration::from_millis(now_ms().saturating_sub(started_at_ms));
-    tokio::time::sleep(URGENT_INTERVAL.saturating_sub(spent)).await;
+    let least = interval.min(URGENT_INTERVAL);
+    tokio::time::sleep(least.saturating_sub(spent)).await;
     tokio::select! {
-        () = tokio::time::sleep(interval.saturating_sub(spent.max(URGENT_INTERVAL))) => {}
+        () = tokio::time::sleep(interval.saturating_sub(spent.max(least))) => {}
         () = node.refresh.notified() => {}
     }
 }
@@ -341,7 +348,10 @@
 /// more than it needs to find the reader. Returns whether a configuration was found.
 async fn sync_from_store(node: &Node, topology: &MetadataTopology) -> Result<bool, StoreError> {
     let stands_in = topology.deputy_rank.is_some_and(|rank| rank < READING_DEPUTIES);
-    if !topology.is_reader() && (node.configuration.known().is_none() || !stands_in) {
+    let starts = node.configuration.known().is_none();
+    // All nodes may have started at once, and wait for the seeds.
+    let reads_all = topology.is_reader() || if starts { topology.is_seed() } else { stands_in };
+    if !reads_all {
         look_up_reader(node).await?;
         if reader_address(node).is_some() || node.configuration.known().is_none() {
             return Ok(node.configuration.known().is_some());
