Keep statements in the data centre of the primary

An owner outside its primary's data centre sends each write across twice, and reads were spread over the members nearly evenly. Each message between nodes carried 16 random bytes of a trace that nobody collects. After a network split the first candidates of a lease were hosts on the other side, and each cost the others 150 ms.

Change: a settled service moves to a candidate in its primary's data centre that carries no more after the move than the owner did before; a replica elsewhere is read once the member next door is half busy; no trace ids; a candidate's head start is 50 ms, and hosts known to be unresponsive are no candidates.

Tests: placements (a zone move never loads a host more; moves of both kinds come to an end from any placement), pools (reads leave the data centre only when its member is half busy).

--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -39,9 +39,9 @@
 /// milliseconds.
 const NOT_DONE_RETRY_MS: u64 = 250;
 
-/// Head start of a candidate over the next one in rank, in milliseconds: longer than a
-/// conditional write.
-const RANK_HEAD_START_MS: u64 = 150;
+/// Head start of a candidate over the next one in rank, in milliseconds: longer than a conditional write
+/// usually takes. If two candidates write all the same, the store accepts one of them.
+const RANK_HEAD_START_MS: u64 = 50;
 
 /// Head start of the preferred owner that a released lease names, in milliseconds.
 const PREFERRED_HEAD_START_MS: u64 = 400;
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -281,12 +281,19 @@
         }
     }
 
-    /// Returns the candidates for ownership, with the number of services that each node owns.
+    /// Returns the candidates for ownership that are not known to be unresponsive, with the number of
+    /// services that each node owns.
     pub(crate) fn placement(&self) -> Placement {
-        Placement {
-            candidates: lock(&self.nodes).candidates(),
-            loads: self.owner_directory.services_per_node(),
-        }
+        let all = lock(&self.nodes).candidates();
+        let is_unresponsive =
+            |record: &NodeRecord| self.peers.unresponsive_for_ms(record.address).is_some();
+        let candidates = match all.iter().any(is_unresponsive) {
+            true => {
+                Arc::new(all.iter().filter(|record| !is_unresponsive(record)).cloned().collect())
+            }
+            false => all,
+        };
+        Placement { candidates, loads: self.owner_directory.services_per_node() }
     }
 
     pub(crate) fn owned(&self, service: &str) -> Option<Arc<OwnedService>> {
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -46,6 +46,12 @@
     (theirs + 1) * u64::from(my_capacity) < mine * u64::from(their_capacity)
 }
 
+/// Returns whether a service may move to another node for the sake of its data centre: the other one
+/// must be no more loaded after the move than this one was before it.
+pub fn may_move_for_zone(mine: u64, my_capacity: u32, theirs: u64, their_capacity: u32) -> bool {
+    (theirs + 1) * u64::from(my_capacity) <= mine * u64::from(their_capacity)
+}
+
 impl Placement {
     fn load(&self, name: &str) -> u64 {
         self.loads.get(name).copied().unwrap_or(0)
@@ -79,12 +85,27 @@
     /// Returns the nodes to ask whether they take a service from `me`, the least loaded first. The
     /// order among equals changes with `round`.
     pub fn move_targets(&self, me: &NodeRecord, round: u64) -> Vec<NodeRecord> {
+        self.targets(me, round, |mine, record, theirs| {
+            should_move(mine, me.capacity, theirs, record.capacity)
+        })
+    }
+
+    /// Returns the nodes of a data centre to ask whether they take a service from `me`, which is in
+    /// another one, in the same order.
+    pub fn zone_targets(&self, me: &NodeRecord, zone: &str, round: u64) -> Vec<NodeRecord> {
+        self.targets(me, round, |mine, record, theirs| {
+            *record.zone == *zone && may_move_for_zone(mine, me.capacity, theirs, record.capacity)
+        })
+    }
+
+    fn targets<Accepts>(&self, me: &NodeRecord, round: u64, accepts: Accepts) -> Vec<NodeRecord>
+    where
+        Accepts: Fn(u64, &NodeRecord, u64) -> bool,
+    {
         let mine = self.load(&me.name);
-        let is_better = |record: &&NodeRecord| {
-            record.name != me.name
-                && should_move(mine, me.capacity, self.load(&record.name), record.capacity)
-        };
-        let mut targets: Vec<&NodeRecord> = self.candidates.iter().filter(is_better).collect();
+        let others = self.candidates.iter().filter(|record| record.name != me.name);
+        let mut targets: Vec<&NodeRecord> =
+            others.filter(|record| accepts(mine, record, self.load(&record.name))).collect();
         targets.sort_by_key(|record| {
             let share = share_with_one_more(self.load(&record.name), record.capacity);
             (share, xxh3_64(format!("{}/{}/{round}", me.name, record.name).as_bytes()))
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -14,6 +14,7 @@
 use tarpc::context;
 use tarpc::serde_transport;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tarpc::trace;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
@@ -243,8 +244,7 @@
     ) -> Result<CallReply, RelayError> {
         let client = self.client(address).await?;
         let unresponsive = lock(&self.connections).entry(address).or_default().unresponsive.clone();
-        let mut context = context::current();
-        context.deadline = Instant::now() + Duration::from_millis(call.deadline_ms + TRANSIT_MS);
+        let context = context_within(Duration::from_millis(call.deadline_ms + TRANSIT_MS));
         let running = client.run(context, call);
         tokio::pin!(running);
         loop {
@@ -302,9 +302,7 @@
         request: MetadataRequest,
     ) -> Result<Option<MetadataUpdate>, RelayError> {
         let client = self.client_within(address, METADATA_CONNECT_TIMEOUT).await?;
-        let mut context = context::current();
-        context.deadline = Instant::now() + METADATA_TIMEOUT;
-        let calling = client.fetch_metadata(context, request);
+        let calling = client.fetch_metadata(context_within(METADATA_TIMEOUT), request);
         let answered = calling.await.map_err(|error| self.disconnect(address, &error))?;
         self.record_answer(address);
         Ok(answered)
@@ -352,9 +350,7 @@
         offer: LeaseOffer,
     ) -> Result<Option<Owner>, RelayError> {
         let client = self.client(address).await?;
-        let mut context = context::current();
-        context.deadline = Instant::now() + OFFER_TIMEOUT;
-        let calling = client.offer_lease(context, offer);
+        let calling = client.offer_lease(context_within(OFFER_TIMEOUT), offer);
         let answered = calling.await.map_err(|error| self.disconnect(address, &error))?;
         self.record_answer(address);
         Ok(answered)
@@ -380,7 +376,14 @@
 }
 
 fn control_context() -> context::Context {
+    context_within(CONTROL_TIMEOUT)
+}
+
+/// Returns the context of a call with this time limit. It names no trace, because random identifiers
+/// cannot be compressed and nothing collects traces.
+fn context_within(limit: Duration) -> context::Context {
     let mut context = context::current();
-    context.deadline = Instant::now() + CONTROL_TIMEOUT;
+    context.deadline = Instant::now() + limit;
+    context.trace_context = trace::Context::default();
     context
 }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -48,6 +48,10 @@
 /// then its members have been probed and connections are open.
 const MIN_OWNERSHIP_MS: u64 = 1_000;
 
+/// Shortest ownership with the same primary after which a service may be moved to the data centre of
+/// that primary, in milliseconds. The move saves bandwidth and is not urgent.
+const ZONE_SETTLE_MS: u64 = 4_000;
+
 /// Shortest time between two offers of a service to other nodes while the store is unreachable or
 /// the lease is about to expire, in milliseconds.
 const OFFER_INTERVAL_MS: u64 = 500;
@@ -227,6 +231,18 @@
             && lock(&self.pool).primary().is_some()
     }
 
+    /// Returns the data centre of the primary once the service has been owned, with this primary, for
+    /// `ZONE_SETTLE_MS` and may be moved.
+    pub fn settled_primary_zone(&self, now_ms: u64) -> Option<Name> {
+        if !self.is_stable(now_ms) {
+            return None;
+        }
+        let pool = lock(&self.pool);
+        let adopted_at_ms = pool.primary_since_ms().max(self.started_at_ms);
+        let primary = pool.members().get(pool.primary()?)?;
+        (now_ms >= adopted_at_ms + ZONE_SETTLE_MS).then(|| primary.entry.zone.clone())
+    }
+
     /// Returns whether a handover is in progress.
     pub fn is_handing_over(&self) -> bool {
         self.is_handing_over.load(Ordering::Acquire)
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -201,7 +201,7 @@
             view.failing_since_ms.is_none() && view.status.is_some_and(|status| !status.is_primary)
         });
         if is_demoted {
-            lock(&self.pool).set_primary(None);
+            lock(&self.pool).set_primary(now_ms(), None);
             log::info!(
                 event = "primary_lost", service = &*self.name, member = &*primary.id,
                 is_listed = view.is_some(); ""
@@ -231,7 +231,7 @@
         }
         {
             let mut pool = lock(&self.pool);
-            pool.set_primary(Some(leader.clone()));
+            pool.set_primary(now_ms(), Some(leader.clone()));
             pool.set_primary_paused(false);
         }
         log::info!(
@@ -265,7 +265,7 @@
         if !self.has_valid_lease() {
             return;
         }
-        lock(&self.pool).set_primary(None);
+        lock(&self.pool).set_primary(now_ms(), None);
         self.promote(probe_connections, primary, &successor).await;
     }
 
@@ -305,7 +305,7 @@
             }
             tokio::time::sleep(URGENT_INTERVAL).await;
         }
-        lock(&self.pool).set_primary(None);
+        lock(&self.pool).set_primary(now_ms(), None);
         self.promote(probe_connections, primary, &successor).await;
         lock(&self.pool).set_primary_paused(false);
         self.dispatch();
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -30,6 +30,14 @@
 /// the member may have no connections left.
 const CONNECT_PAUSE_MS: u64 = 150;
 
+/// Penalties in the choice of a member for a read, in tenths of its slots: for a connection that must be
+/// opened first, for the primary, whose slots writes need, and for another data centre, since bandwidth
+/// between data centres is scarce. A replica elsewhere is chosen once the primary next door has more than
+/// half of its slots in use.
+const NEW_CONNECTION_PENALTY: usize = 4;
+const PRIMARY_PENALTY: usize = 3;
+const REMOTE_PENALTY: usize = 8;
+
 /// Window of the rate limit for statements at a cold member, one that is still warming up, in
 /// milliseconds.
 const COLD_WINDOW_MS: u64 = 1_000;
@@ -113,6 +121,7 @@
     waiting: BTreeMap<u64, SlotRequest>,
     next_ticket: u64,
     primary: Option<MemberKey>,
+    primary_since_ms: u64,
     is_primary_paused: bool,
     max_connections: usize,
     cold_per_s: f64,
@@ -128,6 +137,7 @@
             waiting: BTreeMap::new(),
             next_ticket: 0,
             primary: None,
+            primary_since_ms: 0,
             is_primary_paused: false,
             max_connections: RESERVED_CONNECTIONS + 1,
             cold_per_s: 0.0,
@@ -210,8 +220,16 @@
         self.primary.as_ref()
     }
 
-    /// Sets the primary in use.
-    pub fn set_primary(&mut self, primary: Option<MemberKey>) {
+    /// Returns the time since which the present primary is in use.
+    pub fn primary_since_ms(&self) -> u64 {
+        self.primary_since_ms
+    }
+
+    /// Sets the primary in use from `now_ms` on.
+    pub fn set_primary(&mut self, now_ms: u64, primary: Option<MemberKey>) {
+        if self.primary != primary {
+            self.primary_since_ms = now_ms;
+        }
         self.primary = primary;
     }
 
@@ -295,16 +313,15 @@
                         && (!is_primary || !self.is_primary_paused)
                         && self.can_accept(now_ms, key, &request.tenant)
                 });
-                // The load in tenths of the slots, plus penalties for a new connection, for the
-                // primary and for another data centre.
+                // The load in tenths of the slots, plus penalties.
                 let best = candidates.min_by_key(|(key, member)| {
                     let is_primary = self.primary.as_ref() == Some(key);
                     let needs_connection = !member.has_idle(&request.tenant);
                     let load = member.in_flight * 10 / member.entry.slots.max(1);
                     let is_remote = member.entry.zone != self.zone;
-                    load + usize::from(needs_connection) * 4
-                        + usize::from(is_primary) * 3
-                        + usize::from(is_remote) * 4
+                    load + usize::from(needs_connection) * NEW_CONNECTION_PENALTY
+                        + usize::from(is_primary) * PRIMARY_PENALTY
+                        + usize::from(is_remote) * REMOTE_PENALTY
                 });
                 best.map(|(key, _)| key.clone())
             }
--- a/core/tests/core/placements.rs
+++ b/core/tests/core/placements.rs
@@ -146,12 +146,33 @@
     assert!(placement.move_targets(&records[0], 0).is_empty());
 }
 
+/// Pattern: a service whose owner and primary are in different data centres sends each write across twice.
+#[test]
+fn a_service_moves_to_the_zone_of_its_primary_if_nobody_carries_more_then() {
+    let records: Vec<NodeRecord> = (0..6).map(|number| record(number, 3, LARGE)).collect();
+    let loads = [0, 1, 2].map(|n| (records[n].name.clone(), 1)).into();
+    let mut placement = Placement { candidates: Arc::new(records.clone()), loads };
+    let names = |targets: Vec<NodeRecord>| -> Vec<Name> {
+        targets.into_iter().map(|record| record.name).collect()
+    };
+    assert_eq!(names(placement.zone_targets(&records[0], "zone-1", 0)), [records[4].name.clone()]);
+    placement.loads.insert(records[4].name.clone(), 1);
+    assert!(placement.zone_targets(&records[0], "zone-1", 0).is_empty());
+    placement.loads.insert(records[0].name.clone(), 2);
+    assert_eq!(placement.zone_targets(&records[0], "zone-1", 0).len(), 2);
+    // A smaller host would carry more than the owner does.
+    let small = record(7, 3, SMALL);
+    placement.candidates = Arc::new(vec![records[0].clone(), small]);
+    assert!(placement.zone_targets(&records[0], "zone-1", 0).is_empty());
+}
+
 proptest! {
     /// From any placement, moves end, and no service moves more often than there are owners.
     #[test]
     fn moves_come_to_an_end(
         capacities in prop::collection::vec(prop::sample::select(vec![SMALL, 250, LARGE]), 2..24),
         owned in prop::collection::vec(0_u64..6, 24),
+        zones in prop::collection::vec(0_usize..6, 144),
     ) {
         let records: Vec<NodeRecord> =
             capacities.iter().enumerate().map(|(n, capacity)| record(n, 6, *capacity)).collect();
@@ -159,17 +180,34 @@
             records.iter().zip(owned).map(|(record, owned)| (record.name.clone(), owned)).collect();
         let total: u64 = loads.values().sum();
         let mut placement = Placement { candidates: Arc::new(records.clone()), loads };
+        // Each service has its primary in some data centre.
+        let mut owners: Vec<(usize, String)> = records
+            .iter()
+            .enumerate()
+            .flat_map(|(n, record)| (0..placement.loads[&record.name]).map(move |_| n))
+            .zip(zones)
+            .map(|(owner, zone)| (owner, format!("zone-{zone}")))
+            .collect();
         let mut moves = 0;
         let mut round = 0;
         loop {
             round += 1;
-            let moving = records.iter().find_map(|record| {
-                let target = placement.move_targets(record, round).into_iter().next()?;
-                Some((record.name.clone(), target.name))
+            let moving = owners.iter().enumerate().find_map(|(service, (owner, zone))| {
+                let me = &records[*owner];
+                let lighter = placement.move_targets(me, round).into_iter().next();
+                let target = lighter.or_else(|| {
+                    let in_zone = (*me.zone != **zone).then(|| {
+                        placement.zone_targets(me, zone, round).into_iter().next()
+                    });
+                    in_zone.flatten()
+                })?;
+                Some((service, target))
             });
-            let Some((from, to)) = moving else { break };
-            *placement.loads.entry(from).or_default() -= 1;
-            *placement.loads.entry(to).or_default() += 1;
+            let Some((service, target)) = moving else { break };
+            let to = records.iter().position(|record| *record == target).expect("known");
+            let from = std::mem::replace(&mut owners[service].0, to);
+            *placement.loads.entry(records[from].name.clone()).or_default() -= 1;
+            *placement.loads.entry(target.name).or_default() += 1;
             moves += 1;
             prop_assert!(moves <= total * records.len() as u64, "services move back and forth");
         }
--- a/core/tests/core/pools.rs
+++ b/core/tests/core/pools.rs
@@ -50,7 +50,7 @@
         let position = LogPosition::new(1, 10);
         pool.record_status(0, key, Some(MemberStatus { is_primary, term: 1, position }));
     }
-    pool.set_primary(Some(key("m1")));
+    pool.set_primary(0, Some(key("m1")));
     pool
 }
 
@@ -214,3 +214,20 @@
         }
     }
 }
+
+/// Pattern: reads that are spread evenly over the data centres of the members pay for bandwidth although
+/// slots next door are free.
+#[test]
+fn reads_leave_the_data_centre_only_once_its_member_is_half_busy() {
+    let elsewhere = |id| MemberEntry { zone: "almaty-b".into(), ..entry(id) };
+    let mut pool = pool(vec![entry("m1"), elsewhere("m2"), elsewhere("m3")]);
+    let read = || SlotTarget::Reader { floor: LogPosition::default(), excluded: None };
+    let mut chosen = Vec::new();
+    for _ in 0..4 {
+        pool.enqueue(request(read(), "families", 1_000));
+        let (grants, _) = pool.dispatch(10);
+        chosen.extend(grants.into_iter().map(|(_, grant)| grant.member.key.id.to_string()));
+    }
+    // The primary keeps a slot for writes.
+    assert_eq!(chosen.iter().filter(|id| *id == "m1").count(), 2, "{chosen:?}");
+}
