Tell operators what a host owns and where its metadata comes from

Cause: with relays, a host's metadata takes one or two hops, and an old configuration could not be traced to the host that it came from.

The age of the whole fleet's data is each host's own line: nothing gathers it.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -170,6 +170,9 @@
             let _ = writeln!(text, "configuration_age_ms {age_ms}");
         }
         let _ = writeln!(text, "is_ready {}", u8::from(self.is_ready()));
+        let is_candidate = lock(&self.nodes).is_candidate();
+        let _ = writeln!(text, "is_candidate {}", u8::from(is_candidate));
+        let _ = writeln!(text, "metadata_source{{from=\"{}\"}} 1", self.metadata_source_name());
         let services: Vec<Arc<OwnedService>> = lock(&self.services).values().cloned().collect();
         for service in services {
             service.summary().render_metrics(&mut text);
@@ -209,9 +212,49 @@
         for service in owned {
             problems.extend(service.summary().problems());
         }
+        let role = self.role_report();
         match problems.is_empty() {
-            true => (true, "All is well.\n".to_owned()),
-            false => (false, format!("Not all is well:\n- {}\n", problems.join("\n- "))),
+            true => (true, format!("All is well.\n{role}")),
+            false => (false, format!("Not all is well:\n- {}\n{role}", problems.join("\n- "))),
+        }
+    }
+
+    /// Describes, in words for operators, what this node owns and where its metadata comes from.
+    fn role_report(&self) -> String {
+        let mut text = String::new();
+        let mut owned: Vec<Name> = lock(&self.services).keys().cloned().collect();
+        owned.sort();
+        let owned = if owned.is_empty() { "nothing".to_owned() } else { owned.join(", ") };
+        let is_candidate = lock(&self.nodes).is_candidate();
+        let role = if is_candidate { "candidate for ownership" } else { "no candidate" };
+        let _ = writeln!(text, "owns: {owned}; {role}");
+        let source = self.metadata_source_name();
+        match self.configuration_age_ms() {
+            Some(age_ms) => {
+                let _ = writeln!(text, "metadata: from {source}, {age_ms} ms old");
+            }
+            None => {
+                let _ = writeln!(text, "metadata: none yet");
+            }
+        }
+        let placement = self.placement();
+        let me = &self.settings.zone;
+        let relays: Vec<&str> = placement
+            .candidates
+            .iter()
+            .filter(|record| record.zone == *me)
+            .map(|record| &*record.name)
+            .collect();
+        let _ = writeln!(text, "relays of data centre {me}, in order: {}", relays.join(", "));
+        text
+    }
+
+    /// Returns the address of the node that metadata came from last, `store` or `none`.
+    fn metadata_source_name(&self) -> String {
+        match *lock(&self.metadata_source) {
+            Some(SyncStep::Ask(address)) => address.to_string(),
+            Some(SyncStep::ReadStore) => "store".to_owned(),
+            Some(SyncStep::Wait) | None => "none".to_owned(),
         }
     }
 
