Let a returning daemon hear its peers before it starts a generation

Cause (the listed red case): a daemon that was cut off for longer than 6 s knows no live peer when it returns. It sorts first, so it started a generation of itself and whoever had answered already. The others had no share of any rate in it and refused every write ("exceeds the share of its rate") until the next generation was in force, 3.8 s in all.

Change: no generation is proposed until the daemon has held its lease for 1.5 s again or has heard all daemons of the current generation.

Ruled out: the duel of two homes for one term (seen in good runs as well); a shorter time until a peer counts as dead, which would start more generations.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -29,8 +29,10 @@
 /// Time without contact after which a peer is considered dead, in milliseconds.
 const DEAD_AFTER_MS: u64 = 6_000;
 
-/// Time after start-up during which no generation is proposed, so that peers can be heard first,
-/// in milliseconds.
+/// Time after start-up, or after the lease was regained, during which no generation is proposed unless
+/// all daemons of the current one have been heard, in milliseconds. A daemon that returns from a
+/// partition would otherwise leave out those that it has not heard yet, and they would serve nothing
+/// until the generation after.
 const STARTUP_WAIT_MS: u64 = 1_500;
 
 /// Minimum interval between two proposals of a generation, in milliseconds.
@@ -134,6 +136,8 @@
     /// Whether the daemon has held a lease since it started. If so, it knows every change that
     /// was accepted before its first lease began.
     has_held_lease: bool,
+    /// Since when the daemon has held the lease without interruption, in milliseconds.
+    lease_since_ms: Option<u64>,
     unreachable_primaries: Vec<String>,
 }
 
@@ -157,6 +161,7 @@
             proposed_at_ms: 0,
             is_leaving: false,
             has_held_lease: false,
+            lease_since_ms: None,
             unreachable_primaries: Vec::new(),
         }
     }
@@ -188,7 +193,9 @@
                 actions.push(Action::Publish);
             }
         }
-        self.has_held_lease |= self.has_lease(now_ms);
+        let has_lease = self.has_lease(now_ms);
+        self.has_held_lease |= has_lease;
+        self.lease_since_ms = has_lease.then(|| self.lease_since_ms.unwrap_or(now_ms));
         self.record_majority(now_ms);
         self.raise_limits(now_ms, &mut actions);
         actions
@@ -360,7 +367,8 @@
     }
 
     fn propose(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        let is_startup_over = now_ms.saturating_sub(self.started_at_ms) >= STARTUP_WAIT_MS;
+        let is_startup_over = now_ms.saturating_sub(self.started_at_ms) >= STARTUP_WAIT_MS
+            && self.has_heard_peers(now_ms);
         let is_due = now_ms.saturating_sub(self.proposed_at_ms) >= PROPOSAL_INTERVAL_MS;
         let is_known = self.fleet.host(&self.host).is_some();
         if !is_startup_over || !is_due || !is_known || !self.has_lease(now_ms) {
@@ -379,6 +387,18 @@
         }
     }
 
+    /// Returns whether this daemon has held the lease for [`STARTUP_WAIT_MS`], or has heard all other
+    /// daemons of the current generation since it holds the lease.
+    fn has_heard_peers(&self, now_ms: u64) -> bool {
+        let Some(since_ms) = self.lease_since_ms else { return false };
+        let is_heard = |host: &String| {
+            let peer = self.peers.get(host);
+            *host == self.host || peer.is_some_and(|peer| peer.last_seen_at_ms >= since_ms)
+        };
+        now_ms.saturating_sub(since_ms) >= STARTUP_WAIT_MS
+            || self.fleet.generation.hosts.keys().all(is_heard)
+    }
+
     /// Returns the daemons that are alive and not about to stop, this one included, with their
     /// incarnations.
     fn live_hosts(&self, now_ms: u64) -> BTreeMap<String, u64> {
--- a/tests/integration/decisions/versions.rs
+++ b/tests/integration/decisions/versions.rs
@@ -240,6 +240,36 @@
     }
 }
 
+/// A daemon that returned from a partition and had heard one peer started a generation of the two. The
+/// other daemons had no share of any rate, and refused all statements, until the next generation.
+#[test]
+fn a_returning_daemon_leaves_out_no_daemon_that_it_has_not_heard_yet() {
+    let mut simulation = FleetSimulation::new();
+    let calm = Phase {
+        steps: 160,
+        table_access: 0xff,
+        side: 0,
+        suspended: 0,
+        replaced: None,
+        operator_host: None,
+        demand: 0,
+    };
+    simulation.run(&calm);
+    simulation.run(&Phase { table_access: 0xfe, side: 1, ..calm.clone() });
+    let before = simulation.change_log.len();
+    // It reaches the table and one peer first.
+    simulation.run(&Phase { steps: 10, side: 0b11, ..calm.clone() });
+    simulation.run(&Phase { steps: 60, ..calm });
+    let generations: Vec<usize> = simulation.change_log[before..]
+        .iter()
+        .filter_map(|change| match &change.operation {
+            Operation::StartGeneration { hosts } => Some(hosts.len()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(generations, vec![HOSTS]);
+}
+
 #[test]
 fn undisturbed_daemons_keep_their_leases_and_share_the_full_rate() {
     let mut simulation = FleetSimulation::new();
