Ask the seeds first while no reader is known

Cause: after a kill of all processes a seed answered with the configuration before it had read the leases.

Change: a node that knows no reader asks the seeds before any other node; a node that does not know the reader wakes no waiting requests with a configuration.

Seen failing first: metadata_sources::a_node_that_knows_no_reader_asks_the_seeds _before_other_nodes.

--- a/core/src/metadata_source.rs
+++ b/core/src/metadata_source.rs
@@ -149,14 +149,19 @@
             Some(**address) != topology.me
                 && self.paused_until_ms.get(*address).is_none_or(|until_ms| now_ms >= *until_ms)
         };
+        let seeds: Vec<SocketAddr> = topology.seeds.iter().filter(is_usable).copied().collect();
+        let seed = seeds.get(self.asked_seeds % seeds.len().max(1)).copied();
+        // Without a reader the other nodes may know as little, and would wait for each other.
+        if topology.reader.is_none() && seed.is_some() {
+            self.asked_seeds += 1;
+            return seed;
+        }
         let known = topology.relays.iter().chain(&topology.reader).chain(&topology.deputies);
         if let Some(address) = known.copied().find(|address| is_usable(&address)) {
             return Some(address);
         }
-        let seeds: Vec<SocketAddr> = topology.seeds.iter().filter(is_usable).copied().collect();
-        let seed = seeds.get(self.asked_seeds % seeds.len().max(1)).copied()?;
         self.asked_seeds += 1;
-        Some(seed)
+        seed
     }
 
     /// Returns after which time without recent metadata this node reads the store, in milliseconds.
--- a/core/src/metadata_sync.rs
+++ b/core/src/metadata_sync.rs
@@ -378,8 +378,10 @@
     }
     if let Ok(Some(configuration)) = &configuration {
         apply_configuration(node, configuration.clone(), sent_at_ms);
-        // Other nodes need not wait for the records.
-        node.notify_synced();
+        // Other nodes need not wait for the records, unless they would not learn of the reader.
+        if reader_address(node).is_some() {
+            node.notify_synced();
+        }
     }
     let (records, members) = futures::join!(read_changed_records(node), reading_members);
     if let Ok(Some(members)) = members {
--- a/core/tests/core/metadata_sources.rs
+++ b/core/tests/core/metadata_sources.rs
@@ -162,6 +162,23 @@
     assert!(counts.store() <= hosts + 3, "{} reads of the store", counts.store());
 }
 
+/// After a kill of all processes nodes with a configuration and no owners asked each other in a circle, and
+/// two owners did not learn of their leases for 2.5 s.
+#[test]
+fn a_node_that_knows_no_reader_asks_the_seeds_before_other_nodes() {
+    let mut source = MetadataSource::new(0, 7);
+    let mut topology = topology(100, false);
+    topology.relays = vec![address(4), address(10)];
+    topology.deputies = vec![address(5)];
+    for now_ms in [0, 50, 90] {
+        let SyncStep::Ask(asked) = source.next(now_ms, &topology) else {
+            panic!("no node is asked")
+        };
+        assert!(topology.seeds.contains(&asked), "{asked} may know as little");
+        source.record(now_ms, SyncStep::Ask(asked), SyncOutcome::Recent);
+    }
+}
+
 /// Seeds that failed delay a start, but do not prevent it.
 #[test]
 fn a_host_whose_seeds_have_failed_reads_the_store_itself() {
