Bound the age of metadata by the time to apply a configuration

Metadata of up to 2.5 s was accepted, half of the time for withdrawn keys only, and an answer without news was held back for another second.

Change: the accepted age is half of the shorter of both times (settings: apply_limit_ms); a node whose own metadata is older than 1.3 s answers at once, so that the other one turns to the next source.

Seen failing first: nodes::a_source_with_old_metadata_does_not_hold_its_answer _back (1.0 s).

--- a/core/src/metadata_server.rs
+++ b/core/src/metadata_server.rs
@@ -13,6 +13,10 @@
 /// between two reads of the store.
 pub(crate) const METADATA_HOLD_MS: u64 = 1_000;
 
+/// Age of this node's metadata beyond which an answer is not held back, in milliseconds: this node has
+/// missed a read of the store, and the requesting node may find another source.
+const STALE_MS: u64 = 1_300;
+
 /// Smallest difference in age by which a confirmation counts as another one, in milliseconds: more than
 /// the transit time of a request.
 const NEWER_BY_MS: u64 = 100;
@@ -30,7 +34,9 @@
             let held_ms = now_ms().saturating_sub(received_at_ms);
             let update = self.update_for(&request);
             let is_new = update.as_ref().is_some_and(|update| has_news(&request, update, held_ms));
-            if is_new || held_ms >= METADATA_HOLD_MS || self.is_stopping() {
+            let is_old =
+                update.as_ref().is_some_and(|update| update.confirmation_age_ms > STALE_MS);
+            if is_new || is_old || held_ms >= METADATA_HOLD_MS || self.is_stopping() {
                 return update;
             }
             let left = Duration::from_millis(METADATA_HOLD_MS - held_ms);
@@ -42,6 +48,13 @@
         }
     }
 
+    /// Returns the digests of the configuration and of the owners, with which a request for metadata
+    /// tells what the requesting node has.
+    pub fn metadata_digests(&self) -> (u64, u64) {
+        let configuration = self.configuration.known().map_or(0, |known| known.digest);
+        (configuration, self.owner_directory.digest())
+    }
+
     fn update_for(&self, request: &MetadataRequest) -> Option<MetadataUpdate> {
         let now_ms = now_ms();
         let known = self.configuration.known()?;
--- a/core/src/metadata_source.rs
+++ b/core/src/metadata_source.rs
@@ -14,7 +14,7 @@
 
 /// Time for which a node that has no recent metadata is not asked again, in milliseconds: one that
 /// starts or finds another source has some by then.
-const OUTDATED_PAUSE_MS: u64 = 400;
+const OUTDATED_PAUSE_MS: u64 = 500;
 
 /// Time without recent metadata after which the first deputy reads the store, in milliseconds.
 const FIRST_DEPUTY_DELAY_MS: u64 = 300;
--- a/core/src/metadata_sync.rs
+++ b/core/src/metadata_sync.rs
@@ -47,9 +47,10 @@
 /// nothing new.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Greatest age of accepted metadata as a fraction of the time for which a key may be used, and its
-/// lower bound in milliseconds. What is older would soon be too old to act on.
-const MAX_METADATA_AGE_FRACTION: f64 = 0.5;
+/// Divisor of the time within which a configuration must be in force, or a withdrawn key out of use,
+/// that yields the greatest age of accepted metadata, and the lower bound of that age in milliseconds.
+/// The other half of the time is left to find another source.
+const METADATA_AGE_DIVISOR: u64 = 2;
 const MIN_METADATA_AGE_LIMIT_MS: u64 = 1_500;
 
 /// Number of first candidates for a service that follow its lease, so that they notice at once when
@@ -236,11 +237,12 @@
         let nodes = lock(&node.nodes);
         (nodes.me().clone(), (!wants_all).then(|| nodes.digest()))
     };
+    let (configuration, owners) = node.metadata_digests();
     let request = MetadataRequest {
         sender,
         confirmation_age_ms: node.configuration_age_ms(),
-        configuration: known.as_ref().map_or(0, |known| known.digest),
-        owners: node.owner_directory.digest(),
+        configuration,
+        owners,
         candidates,
         members: owns_some.then(|| node.members.digest()),
         leases: followed_services(node),
@@ -456,8 +458,8 @@
 impl Node {
     /// Returns the greatest age of metadata that this node accepts, in milliseconds.
     fn metadata_age_limit_ms(&self) -> u64 {
-        let limit_ms = self.settings.revoke_limit_ms as f64 * MAX_METADATA_AGE_FRACTION;
-        (limit_ms as u64).max(MIN_METADATA_AGE_LIMIT_MS)
+        let limit_ms = self.settings.revoke_limit_ms.min(self.settings.apply_limit_ms);
+        (limit_ms / METADATA_AGE_DIVISOR).max(MIN_METADATA_AGE_LIMIT_MS)
     }
 
     /// Tells waiting requests of other nodes that the metadata was confirmed.
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -74,6 +74,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time after which a withdrawn key must be rejected, in milliseconds.
     pub revoke_limit_ms: u64,
+    /// Time after which a new configuration must be in force, in milliseconds.
+    pub apply_limit_ms: u64,
     /// Time from the stop signal until the process is killed, in milliseconds.
     pub grace_ms: u64,
 }
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -15,8 +15,10 @@
 use crate::test_cluster::run;
 use snipehead_core::configuration::ServiceLimits;
 use snipehead_core::configuration::Tenant;
+use snipehead_core::node_record::NodeRecord;
 use snipehead_core::outcome::BlockState;
 use snipehead_core::outcome::Failure;
+use snipehead_core::relay::MetadataRequest;
 
 #[rstest]
 #[case::reads("FETCH a", "bookings")]
@@ -70,6 +72,37 @@
     assert!(healed.elapsed() < Duration::from_millis(1_500), "{:?}", healed.elapsed());
 }
 
+/// A host kept asking a node that had lost the store, whose answers were accepted until they were 2.5 s old
+/// and held back for another second, and refused a new key 3.2 s after it had been issued.
+#[tokio::test]
+async fn a_source_with_old_metadata_does_not_hold_its_answer_back() {
+    let cluster = TestCluster::start(2).await;
+    cluster.wait_until_serving(1).await;
+    cluster.store.is_down.store(true, Ordering::Release);
+    tokio::time::sleep(Duration::from_millis(1_400)).await;
+    let node = &cluster.hosts[0].node;
+    let sender = NodeRecord {
+        name: "host-9".into(),
+        address: "127.0.0.1:9".parse().expect("valid"),
+        zone: "almaty-a".into(),
+        capacity: 250,
+    };
+    let first = node.metadata_digests();
+    let request = MetadataRequest {
+        sender,
+        confirmation_age_ms: Some(0),
+        configuration: first.0,
+        owners: first.1,
+        candidates: None,
+        members: None,
+        leases: Vec::new(),
+    };
+    let asked = Instant::now();
+    let update = node.metadata_for(request).await.expect("the node has metadata");
+    assert!(asked.elapsed() < Duration::from_millis(200), "{:?}", asked.elapsed());
+    assert!(update.confirmation_age_ms > 1_300);
+}
+
 /// A node that owned three of eight services kept answering late, because nothing moved them to
 /// other nodes.
 #[tokio::test]
--- a/core/tests/core/test_cluster.rs
+++ b/core/tests/core/test_cluster.rs
@@ -31,6 +31,7 @@
 use snipehead_core::statement::StatementKind;
 
 pub const REVOKE_LIMIT_MS: u64 = 2_000;
+pub const APPLY_LIMIT_MS: u64 = 3_000;
 
 /// Longest wait for an expected state.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(15);
@@ -104,6 +105,7 @@
             capacity: 250,
             seeds: Vec::new(),
             revoke_limit_ms: REVOKE_LIMIT_MS,
+            apply_limit_ms: APPLY_LIMIT_MS,
             grace_ms: 2_000,
         };
         let dependencies = NodeDependencies {
