Read the store oneself before a configuration is overdue

Change: a host whose metadata is older than 60% of the time to apply a configuration reads the store whatever its place, with a jitter of 0.2 s and the doubling pauses as before.

Ruled out: shorter turns for all, which bring the herd back on every outage.

Test: metadata_sources::a_host_with_too_old_metadata_reads_the_store_whatever_its _place; it needs the new field, so it was not run against the code before.

--- a/core/src/metadata_source.rs
+++ b/core/src/metadata_source.rs
@@ -36,6 +36,9 @@
 /// loss of all nodes the seeds start at about the same time.
 const SEED_PAUSE_MS: u64 = 100;
 
+/// Range of the random addition to the age at which any node reads the store, in milliseconds.
+const OWN_READ_SPREAD_MS: u64 = 200;
+
 /// Shortest and longest time between two reads of the store by a node that is not the reader, in
 /// milliseconds. It doubles with each failure, so that many nodes do not keep the store overloaded.
 const MIN_STORE_RETRY_MS: u64 = 1_000;
@@ -56,6 +59,11 @@
     pub deputy_rank: Option<u64>,
     /// Nodes that the settings name for a start.
     pub seeds: Vec<SocketAddr>,
+    /// Age of this node's metadata, in milliseconds, if it has any.
+    pub age_ms: Option<u64>,
+    /// Age at which this node reads the store whatever its place among the others, in milliseconds: in
+    /// a network split the nodes that come before it may be on the other side.
+    pub own_read_age_ms: u64,
 }
 
 impl MetadataTopology {
@@ -135,7 +143,9 @@
             || self
                 .failing_since_ms
                 .is_some_and(|since_ms| now_ms >= since_ms + self.store_delay_ms(topology));
-        if may_retry && is_due {
+        let own_read_age_ms = topology.own_read_age_ms + self.jitter % OWN_READ_SPREAD_MS;
+        let is_too_old = topology.age_ms.is_some_and(|age_ms| age_ms >= own_read_age_ms);
+        if may_retry && (is_due || is_too_old) {
             return SyncStep::ReadStore;
         }
         match self.next_node(now_ms, topology) {
--- a/core/src/metadata_sync.rs
+++ b/core/src/metadata_sync.rs
@@ -53,6 +53,10 @@
 const METADATA_AGE_DIVISOR: u64 = 2;
 const MIN_METADATA_AGE_LIMIT_MS: u64 = 1_500;
 
+/// Percentage of the time within which a configuration must be in force after which a node that got none
+/// from others reads the store itself.
+const OWN_READ_PERCENT: u64 = 60;
+
 /// Number of first candidates for a service that follow its lease, so that they notice at once when
 /// it expires: the owner and one candidate may fail at once.
 const FOLLOWER_COUNT: u64 = 3;
@@ -212,6 +216,8 @@
         deputies: successors.into_iter().take(DEPUTY_COUNT).collect(),
         deputy_rank: rank.map(|rank| rank as u64),
         seeds: node.settings.seeds.clone(),
+        age_ms: node.configuration_age_ms(),
+        own_read_age_ms: node.settings.apply_limit_ms * OWN_READ_PERCENT / 100,
     }
 }
 
--- a/core/tests/core/metadata_sources.rs
+++ b/core/tests/core/metadata_sources.rs
@@ -18,6 +18,9 @@
 /// Time between two rounds of a node, in milliseconds.
 const ROUND_MS: u64 = 200;
 
+/// Age at which a host reads the store itself, in milliseconds.
+const OWN_READ_AGE_MS: u64 = 1_800;
+
 /// Time that an answer is held back, in milliseconds.
 const HOLD_MS: u64 = 1_000;
 
@@ -35,6 +38,8 @@
         return MetadataTopology { me: Some(address(host)), seeds, ..Default::default() };
     }
     MetadataTopology {
+        age_ms: None,
+        own_read_age_ms: OWN_READ_AGE_MS,
         me: Some(address(host)),
         reader: Some(address(0)),
         relays: if is_candidate { Vec::new() } else { relays },
@@ -179,6 +184,23 @@
     }
 }
 
+/// In a network split a host reached the store, but waited 2.6 s for the nodes before it, which were on the
+/// other side, and served an old configuration meanwhile.
+#[test]
+fn a_host_with_too_old_metadata_reads_the_store_whatever_its_place() {
+    let mut topology = topology(23, true);
+    let mut source = MetadataSource::new(0, 7);
+    source.record(1_000, SyncStep::Ask(address(0)), SyncOutcome::Recent);
+    source.record(1_500, SyncStep::Ask(address(0)), SyncOutcome::Outdated);
+    topology.age_ms = Some(OWN_READ_AGE_MS - 1);
+    assert!(matches!(source.next(1_600, &topology), SyncStep::Ask(_)));
+    topology.age_ms = Some(OWN_READ_AGE_MS + 200);
+    assert_eq!(source.next(1_900, &topology), SyncStep::ReadStore);
+    // A failed read is not repeated at once.
+    source.record(1_910, SyncStep::ReadStore, SyncOutcome::Failed);
+    assert!(matches!(source.next(1_950, &topology), SyncStep::Ask(_)));
+}
+
 /// Seeds that failed delay a start, but do not prevent it.
 #[test]
 fn a_host_whose_seeds_have_failed_reads_the_store_itself() {
