Report an unreadable change log, failed accepts, and randomize cancel secrets

Cause (found by reading): ChangeLog::read_after ended silently at a row that it could not parse, and a short page counts as the end of the log, so that a lease could be renewed without later changes, a withdrawn key for example. The relay retried failed accepts in a loop without a pause or a line. Its cancel secrets followed from the process id.

Change: an unreadable, missing or misplaced row is an error with a log line, and the read renews no lease; failed accepts are logged and followed by 10 ms; secrets are random, 32 bits as the protocol version allows.

The pause and the secrets have no test of their own.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -34,6 +34,7 @@
 use crate::peer::pool::PeerPool;
 use crate::peer::rpc::ExchangeRequest;
 use crate::peer::rpc::PeerRpcClient;
+use crate::platform::error::PlatformError;
 use crate::relay::relay_server::RelayServer;
 use crate::settings::daemon_settings::DaemonSettings;
 use crate::traffic::context::TrafficContext;
@@ -202,8 +203,17 @@
         loop {
             let requested_at_ms = clock::now_ms();
             let after = changes.last().map_or(after_version, |change| change.version);
-            let Ok(page) = self.context.log.read_after(after).await else {
-                return;
+            let page = match self.context.log.read_after(after).await {
+                Ok(page) => page,
+                // The table is read again in a second, and the lease expires meanwhile.
+                Err(PlatformError::Unavailable(_)) => return,
+                Err(error @ PlatformError::Unreadable(_)) => {
+                    log::warn!(
+                        event = "change_log_unreadable", after = after, error = error.to_string();
+                        "the lease is not renewed by reads of a log that cannot be read to its end"
+                    );
+                    return;
+                }
             };
             let is_end = page.len() < READ_PAGE_SIZE;
             changes.extend(page);
--- a/src/fleet/change_log.rs
+++ b/src/fleet/change_log.rs
@@ -38,17 +38,29 @@
         Self { platform }
     }
 
-    /// Reads the changes after a version in order, at most [`READ_PAGE_SIZE`] of them. Stops before
-    /// the first row that cannot be parsed.
+    /// Reads the changes after a version in order, at most [`READ_PAGE_SIZE`] of them.
     ///
     /// # Errors
     ///
-    /// Returns an error if the table does not respond.
+    /// Returns an error if the table does not respond, or if a row cannot be parsed or is missing: a
+    /// daemon must not act as if it knew the changes from there on.
     pub async fn read_after(&self, version: u64) -> Result<Vec<Change>, PlatformError> {
         let after = row_key(version);
         let rows = self.platform.read_after(KEY_PREFIX, &after, READ_PAGE_SIZE).await?;
-        let parsed = rows.iter().map(|row| serde_json::from_str(&row.value));
-        Ok(parsed.map_while(Result::ok).collect())
+        let mut changes = Vec::new();
+        for (expected, row) in (version + 1..).zip(&rows) {
+            let change: Change = serde_json::from_str(&row.value)
+                .map_err(|error| PlatformError::Unreadable(format!("row {}: {error}", row.key)))?;
+            if change.version != expected || row.key != row_key(expected) {
+                let found = &row.key;
+                return Err(PlatformError::Unreadable(format!(
+                    "row {found} with version {} where version {expected} was expected",
+                    change.version
+                )));
+            }
+            changes.push(change);
+        }
+        Ok(changes)
     }
 
     /// Appends a change at its version.
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -49,6 +49,9 @@
 /// Longest time from accepting a connection to authenticating the other daemon.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Pause after a connection could not be accepted: the process may have no descriptors left.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(10);
+
 /// Largest message that another daemon may relay, in bytes.
 const MAX_MESSAGE_BYTES: usize = (1 << 30) - 1;
 
@@ -58,7 +61,7 @@
 pub struct RelayServer {
     secret: String,
     homes: ArcSwap<HashMap<String, Arc<GroupHome>>>,
-    cancels: Mutex<HashMap<i32, (i32, Arc<Notify>)>>,
+    cancels: Mutex<HashMap<i32, (SecretKey, Arc<Notify>)>>,
     next_process_id: AtomicI32,
     lent_connections: AtomicUsize,
     stop: CancellationToken,
@@ -96,7 +99,17 @@
                 () = self.stop.cancelled() => return,
                 accepted = listener.accept() => accepted,
             };
-            let Ok((stream, _)) = accepted else { continue };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!(
+                        event = "relay_accept_failed", error = error.to_string();
+                        "a connection of another daemon could not be accepted"
+                    );
+                    tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+                    continue;
+                }
+            };
             let _ = stream.set_nodelay(true);
             let server = self.clone();
             self.tasks.spawn(async move {
@@ -113,21 +126,21 @@
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) -> Option<()> {
         let mut wire = Framed::new(stream, FrontendCodec::new(MAX_MESSAGE_BYTES));
         let starting = self.authenticate(&mut wire);
-        let process_id = tokio::time::timeout(STARTUP_TIMEOUT, starting).await.ok()??;
+        let (process_id, secret) = tokio::time::timeout(STARTUP_TIMEOUT, starting).await.ok()??;
         let cancel = Arc::new(Notify::new());
-        self.lock_cancels().insert(process_id, (cancel_secret(process_id), cancel.clone()));
+        self.lock_cancels().insert(process_id, (secret, cancel.clone()));
         let served = self.serve_requests(&mut wire, &cancel).await;
         self.lock_cancels().remove(&process_id);
         served
     }
 
-    fn lock_cancels(&self) -> std::sync::MutexGuard<'_, HashMap<i32, (i32, Arc<Notify>)>> {
+    fn lock_cancels(&self) -> std::sync::MutexGuard<'_, HashMap<i32, (SecretKey, Arc<Notify>)>> {
         lock(&self.cancels)
     }
 
-    /// Authenticates the other daemon; returns the process id assigned to the connection. `None`
-    /// means that the connection is over.
-    async fn authenticate(&self, wire: &mut Wire) -> Option<i32> {
+    /// Authenticates the other daemon; returns the process id and the cancel secret assigned to the
+    /// connection. `None` means that the connection is over.
+    async fn authenticate(&self, wire: &mut Wire) -> Option<(i32, SecretKey)> {
         let startup = loop {
             match wire.next().await?.ok()? {
                 Request::SslNegotiation(SslNegotiationMetaMessage::None) => {
@@ -162,17 +175,19 @@
             return None;
         }
         let process_id = self.next_process_id.fetch_add(1, Ordering::Relaxed);
-        let secret = SecretKey::I32(cancel_secret(process_id));
+        let secret = SecretKey::I32(rand::random());
         wire.feed(Reply::Authentication(Authentication::Ok)).await.ok()?;
-        wire.feed(Reply::BackendKeyData(BackendKeyData::new(process_id, secret))).await.ok()?;
+        wire.feed(Reply::BackendKeyData(BackendKeyData::new(process_id, secret.clone())))
+            .await
+            .ok()?;
         wire.send(ready_for_query()).await.ok()?;
-        Some(process_id)
+        Some((process_id, secret))
     }
 
     fn cancel(&self, process_id: i32, secret: &SecretKey) {
         let cancels = self.lock_cancels();
         if let Some((known, cancel)) = cancels.get(&process_id)
-            && *secret == SecretKey::I32(*known)
+            && secret == known
         {
             cancel.notify_waiters();
         }
@@ -226,12 +241,6 @@
     }
 }
 
-fn cancel_secret(process_id: i32) -> i32 {
-    // The value only has to differ between connections. It is predictable and protects nothing:
-    // only authenticated daemons get process ids, but these count up from 1.
-    process_id ^ 0x2f6e_2b15
-}
-
 fn ready_for_query() -> Reply {
     Reply::ReadyForQuery(ReadyForQuery::new(TransactionStatus::Idle))
 }
