--- a/core/src/digest.rs
+++ b/core/src/digest.rs
@@ -3,7 +3,8 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Returns a digest of the content; 0, which no content is expected to have, if it cannot be encoded.
+/// Returns a digest of the content; 0, which no content is expected to have, if it cannot be
+/// encoded.
 pub(crate) fn digest<Content>(content: &Content) -> u64
 where
     Content: Serialize + ?Sized,
--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -39,8 +39,8 @@
 /// milliseconds.
 const NOT_DONE_RETRY_MS: u64 = 250;
 
-/// Head start of a candidate over the next one in rank, in milliseconds: longer than a conditional write
-/// usually takes. If two candidates write all the same, the store accepts one of them.
+/// Head start of a candidate over the next one in rank, in milliseconds: longer than a conditional
+/// write usually takes. If two candidates write all the same, the store accepts one of them.
 const RANK_HEAD_START_MS: u64 = 50;
 
 /// Head start of the preferred owner that a released lease names, in milliseconds.
@@ -233,8 +233,8 @@
 
     /// Returns the writes that are due, and records them as sent at `now_ms`. `rank` returns this
     /// node's rank among the candidates for a service: 0 for the first, `None` if the node should
-    /// not own the service. At most one of the writes takes a lease over from another node, since the
-    /// rank changes with each service that the node owns.
+    /// not own the service. At most one of the writes takes a lease over from another node, since
+    /// the rank changes with each service that the node owns.
     pub fn due_writes<Rank>(
         &mut self,
         now_ms: u64,
@@ -259,7 +259,8 @@
         writes
     }
 
-    /// Returns whether the record of a lease names neither this process nor its address as the holder.
+    /// Returns whether the record of a lease names neither this process nor its address as the
+    /// holder.
     fn is_held_elsewhere(&self, service: &Name) -> bool {
         let record = self.leases.get(service).and_then(|lease| lease.record.as_ref());
         record.is_none_or(|record| record.address != self.identity.address)
--- a/core/src/metadata_server.rs
+++ b/core/src/metadata_server.rs
@@ -9,16 +9,16 @@
 use crate::relay::MetadataUpdate;
 use crate::sync::lock;
 
-/// Longest time for which an answer without anything new is held back, in milliseconds: about the time
-/// between two reads of the store.
+/// Longest time for which an answer without anything new is held back, in milliseconds: about the
+/// time between two reads of the store.
 pub(crate) const METADATA_HOLD_MS: u64 = 1_000;
 
-/// Age of this node's metadata beyond which an answer is not held back, in milliseconds: this node has
-/// missed a read of the store, and the requesting node may find another source.
+/// Age of this node's metadata beyond which an answer is not held back, in milliseconds: this node
+/// has missed a read of the store, and the requesting node may find another source.
 const STALE_MS: u64 = 1_300;
 
-/// Smallest difference in age by which a confirmation counts as another one, in milliseconds: more than
-/// the transit time of a request.
+/// Smallest difference in age by which a confirmation counts as another one, in milliseconds: more
+/// than the transit time of a request.
 const NEWER_BY_MS: u64 = 100;
 
 impl Node {
@@ -48,8 +48,8 @@
         }
     }
 
-    /// Returns the digests of the configuration and of the owners, with which a request for metadata
-    /// tells what the requesting node has.
+    /// Returns the digests of the configuration and of the owners, with which a request for
+    /// metadata tells what the requesting node has.
     pub fn metadata_digests(&self) -> (u64, u64) {
         let configuration = self.configuration.known().map_or(0, |known| known.digest);
         (configuration, self.owner_directory.digest())
--- a/core/src/metadata_source.rs
+++ b/core/src/metadata_source.rs
@@ -1,10 +1,10 @@
-//! Decides from where a node gets metadata next: from another node or from the store. Performs no input
-//! or output.
+//! Decides from where a node gets metadata next: from another node or from the store. Performs no
+//! input or output.
 //!
-//! One node, the reader, reads the store. Candidates ask the reader; all other nodes ask a candidate of
-//! their data centre, their relay. Each knows the successors of the node that it asks. If none of them
-//! has recent metadata, a few nodes read the store themselves at first, and the others only if that does
-//! not help, spread over time.
+//! One node, the reader, reads the store. Candidates ask the reader; all other nodes ask a
+//! candidate of their data centre, their relay. Each knows the successors of the node that it asks.
+//! If none of them has recent metadata, a few nodes read the store themselves at first, and the
+//! others only if that does not help, spread over time.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,8 +22,8 @@
 /// Further delay of each following deputy, in milliseconds: a read and its distribution take less.
 const DEPUTY_STEP_MS: u64 = 400;
 
-/// Time without recent metadata after which any node may read the store, in milliseconds, with the range
-/// of a random addition. Keys are accepted for longer than both together.
+/// Time without recent metadata after which any node may read the store, in milliseconds, with the
+/// range of a random addition. Keys are accepted for longer than both together.
 const OTHERS_DELAY_MS: u64 = 2_000;
 const OTHERS_SPREAD_MS: u64 = 1_800;
 
@@ -32,8 +32,8 @@
 const START_DELAY_MS: u64 = 100;
 const START_SPREAD_MS: u64 = 500;
 
-/// Time for which a seed that did not answer is not asked again by such a node, in milliseconds: after a
-/// loss of all nodes the seeds start at about the same time.
+/// Time for which a seed that did not answer is not asked again by such a node, in milliseconds:
+/// after a loss of all nodes the seeds start at about the same time.
 const SEED_PAUSE_MS: u64 = 100;
 
 /// Range of the random addition to the age at which any node reads the store, in milliseconds.
@@ -61,8 +61,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Age of this node's metadata, in milliseconds, if it has any.
     pub age_ms: Option<u64>,
-    /// Age at which this node reads the store whatever its place among the others, in milliseconds: in
-    /// a network split the nodes that come before it may be on the other side.
+    /// Age at which this node reads the store whatever its place among the others, in milliseconds:
+    /// in a network split the nodes that come before it may be on the other side.
     pub own_read_age_ms: u64,
 }
 
@@ -77,7 +77,8 @@
         self.me.is_some_and(|me| self.seeds.contains(&me))
     }
 
-    /// Returns whether no reader is known and this node is one of those that look for it in the store.
+    /// Returns whether no reader is known and this node is one of those that look for it in the
+    /// store.
     fn must_look_up_reader(&self) -> bool {
         self.reader.is_none() && (self.seeds.is_empty() || self.is_seed())
     }
@@ -118,8 +119,8 @@
 }
 
 impl MetadataSource {
-    /// Creates the memory of a node that has just started. `jitter` is a number that differs from node
-    /// to node.
+    /// Creates the memory of a node that has just started. `jitter` is a number that differs from
+    /// node to node.
     pub fn new(now_ms: u64, jitter: u64) -> Self {
         Self {
             jitter,
--- a/core/src/metadata_sync.rs
+++ b/core/src/metadata_sync.rs
@@ -1,7 +1,8 @@
 //! Synchronizes a node with the configuration, the leases, the list of nodes and the members.
 //!
-//! [`MetadataSource`] chooses whom to ask: the node that reads the store, another node that asks that one,
-//! or the store itself. An answer tells how old its data is, counted from the read of the store.
+//! [`MetadataSource`] chooses whom to ask: the node that reads the store, another node that asks
+//! that one, or the store itself. An answer tells how old its data is, counted from the read of the
+//! store.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,18 +44,18 @@
 /// Interval after a node had no recent metadata, before another one is asked.
 const NEXT_SOURCE_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Shortest time between two requests for metadata. The asked node holds its answer back while it has
-/// nothing new.
+/// Shortest time between two requests for metadata. The asked node holds its answer back while it
+/// has nothing new.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Divisor of the time within which a configuration must be in force, or a withdrawn key out of use,
-/// that yields the greatest age of accepted metadata, and the lower bound of that age in milliseconds.
-/// The other half of the time is left to find another source.
+/// Divisor of the time within which a configuration must be in force, or a withdrawn key out of
+/// use, that yields the greatest age of accepted metadata, and the lower bound of that age in
+/// milliseconds. The other half of the time is left to find another source.
 const METADATA_AGE_DIVISOR: u64 = 2;
 const MIN_METADATA_AGE_LIMIT_MS: u64 = 1_500;
 
-/// Percentage of the time within which a configuration must be in force after which a node that got none
-/// from others reads the store itself.
+/// Percentage of the time within which a configuration must be in force after which a node that got
+/// none from others reads the store itself.
 const OWN_READ_PERCENT: u64 = 60;
 
 /// Number of first candidates for a service that follow its lease, so that they notice at once when
@@ -70,8 +71,8 @@
 /// Time between two reads of all records, in milliseconds: the store keeps as much history.
 const WHOLE_READ_INTERVAL_MS: u64 = 20_000;
 
-/// Time between two requests for the whole list of candidates, with the times at which they were heard
-/// from, in milliseconds: several within the time after which a node is forgotten.
+/// Time between two requests for the whole list of candidates, with the times at which they were
+/// heard from, in milliseconds: several within the time after which a node is forgotten.
 const CANDIDATE_REFRESH_MS: u64 = 8_000;
 
 /// Synchronizes the node periodically, with another node or with the store.
@@ -283,8 +284,8 @@
     }
 }
 
-/// Applies the answer to a request that was sent at `sent_at_ms`, when this node had `version` of the
-/// configuration.
+/// Applies the answer to a request that was sent at `sent_at_ms`, when this node had `version` of
+/// the configuration.
 fn apply_update(
     node: &Node,
     update: MetadataUpdate,
@@ -352,8 +353,8 @@
     }
 }
 
-/// Synchronizes with the store. A node that is neither the reader nor one of its first deputies reads no
-/// more than it needs to find the reader. Returns whether a configuration was found.
+/// Synchronizes with the store. A node that is neither the reader nor one of its first deputies
+/// reads no more than it needs to find the reader. Returns whether a configuration was found.
 async fn sync_from_store(node: &Node, topology: &MetadataTopology) -> Result<bool, StoreError> {
     let stands_in = topology.deputy_rank.is_some_and(|rank| rank < READING_DEPUTIES);
     let starts = node.configuration.known().is_none();
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -326,8 +326,8 @@
         }
     }
 
-    /// Returns the candidates for ownership that are not known to be unresponsive, with the number of
-    /// services that each node owns.
+    /// Returns the candidates for ownership that are not known to be unresponsive, with the number
+    /// of services that each node owns.
     pub(crate) fn placement(&self) -> Placement {
         let all = lock(&self.nodes).candidates();
         let is_unresponsive =
--- a/core/src/node_directory.rs
+++ b/core/src/node_directory.rs
@@ -1,9 +1,9 @@
 //! The nodes that this node has heard of, and those among them that own services and distribute
 //! metadata. Performs no input or output.
 //!
-//! A node hears of others from their requests and from the lists in answers. Only a few nodes of each
-//! data centre, the candidates, are passed on, so that what a node keeps and sends does not grow with
-//! the number of nodes.
+//! A node hears of others from their requests and from the lists in answers. Only a few nodes of
+//! each data centre, the candidates, are passed on, so that what a node keeps and sends does not
+//! grow with the number of nodes.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -84,8 +84,8 @@
         self.candidates = Arc::new(by_zone.into_values().flatten().collect());
     }
 
-    /// Returns the nodes that may own services, those of one data centre after the other, the one with
-    /// the greatest capacity first.
+    /// Returns the nodes that may own services, those of one data centre after the other, the one
+    /// with the greatest capacity first.
     pub fn candidates(&self) -> Arc<Vec<NodeRecord>> {
         self.candidates.clone()
     }
--- a/core/src/node_record.rs
+++ b/core/src/node_record.rs
@@ -7,8 +7,8 @@
 
 use crate::name::Name;
 
-/// Capacity that one Mbit/s of link bandwidth is worth, in thousandths of a core: a statement that is
-/// relayed takes about as long on such a link as on the processor.
+/// Capacity that one Mbit/s of link bandwidth is worth, in thousandths of a core: a statement that
+/// is relayed takes about as long on such a link as on the processor.
 const CAPACITY_PER_MBPS: f64 = 10.0;
 
 /// A node as other nodes know it.
@@ -20,8 +20,8 @@
     pub address: SocketAddr,
     /// Data centre of the node.
     pub zone: Name,
-    /// How much work the node can carry: the smaller of its share of a processor, in thousandths of a
-    /// core, and of what its link carries in the same unit.
+    /// How much work the node can carry: the smaller of its share of a processor, in thousandths of
+    /// a core, and of what its link carries in the same unit.
     pub capacity: u32,
 }
 
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -258,10 +258,11 @@
     }
 }
 
-/// Returns the node that should take over a service, if one is found: it reaches the store and is the
-/// least loaded for its capacity. Among equals, a stopping node chooses the one that started last, because a
-/// rolling restart does not stop that one next. Other owners choose by a hash of the service name,
-/// so that owners that lose the store at the same moment do not all choose the same node.
+/// Returns the node that should take over a service, if one is found: it reaches the store and is
+/// the least loaded for its capacity. Among equals, a stopping node chooses the one that started
+/// last, because a rolling restart does not stop that one next. Other owners choose by a hash of
+/// the service name, so that owners that lose the store at the same moment do not all choose the
+/// same node.
 async fn find_new_owner(node: &Node, service: &Name) -> Option<Name> {
     let me = node.settings.identity.node.clone();
     let placement = node.placement();
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -1,5 +1,5 @@
-//! Decides which nodes should own services, by their capacity and by what they own already. Performs no
-//! input or output.
+//! Decides which nodes should own services, by their capacity and by what they own already.
+//! Performs no input or output.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -16,8 +16,8 @@
 /// when all candidates have failed.
 const OUTSIDER_SPREAD: u64 = 16;
 
-/// Most nodes that are asked whether they take a service: two of them may have stopped since they were
-/// last heard of.
+/// Most nodes that are asked whether they take a service: two of them may have stopped since they
+/// were last heard of.
 const MAX_TARGETS: usize = 3;
 
 /// The candidates for ownership and the number of services that each node owns.
@@ -34,7 +34,8 @@
     xxh3_64(format!("{service}/{node}").as_bytes())
 }
 
-/// Returns the share of a node's capacity that its services and one more take; the smaller the better.
+/// Returns the share of a node's capacity that its services and one more take; the smaller the
+/// better.
 pub fn share_with_one_more(owned: u64, capacity: u32) -> u64 {
     (owned + 1) * SHARE_SCALE / u64::from(capacity.max(1))
 }
@@ -46,8 +47,8 @@
     (theirs + 1) * u64::from(my_capacity) < mine * u64::from(their_capacity)
 }
 
-/// Returns whether a service may move to another node for the sake of its data centre: the other one
-/// must be no more loaded after the move than this one was before it.
+/// Returns whether a service may move to another node for the sake of its data centre: the other
+/// one must be no more loaded after the move than this one was before it.
 pub fn may_move_for_zone(mine: u64, my_capacity: u32, theirs: u64, their_capacity: u32) -> bool {
     (theirs + 1) * u64::from(my_capacity) <= mine * u64::from(their_capacity)
 }
@@ -69,8 +70,8 @@
         order
     }
 
-    /// Returns the place of a node in the order in which nodes may take a service over; 0 for the first.
-    /// Nodes that are no candidates come after all candidates.
+    /// Returns the place of a node in the order in which nodes may take a service over; 0 for the
+    /// first. Nodes that are no candidates come after all candidates.
     pub fn rank(&self, me: &str, service: &str) -> u64 {
         match self.candidates.iter().find(|record| *record.name == *me) {
             Some(record) => {
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -181,8 +181,8 @@
 pub struct MetadataRequest {
     /// The requesting node.
     pub sender: NodeRecord,
-    /// Time since its configuration was last confirmed as the newest, in milliseconds. The answer may
-    /// be held back until there is something newer.
+    /// Time since its configuration was last confirmed as the newest, in milliseconds. The answer
+    /// may be held back until there is something newer.
     pub confirmation_age_ms: Option<u64>,
     /// Digest of its configuration.
     pub configuration: u64,
@@ -228,8 +228,8 @@
     async fn offer_lease(offer: LeaseOffer) -> Option<Owner>;
     /// Activates the node's ownership of a service after the previous owner has closed it.
     async fn activate(service: Name);
-    /// Returns the metadata that the requesting node lacks, at once if there is any, or else when there
-    /// is some or after a while; `None` if the node knows no configuration.
+    /// Returns the metadata that the requesting node lacks, at once if there is any, or else when
+    /// there is some or after a while; `None` if the node knows no configuration.
     async fn fetch_metadata(request: MetadataRequest) -> Option<MetadataUpdate>;
     /// Takes rate-limit tokens of a tenant from the owner of the tenant's home service.
     async fn take_tokens(tenant: Name, count: u32) -> Option<TokenGrant>;
--- a/core/src/relay/format.rs
+++ b/core/src/relay/format.rs
@@ -1,6 +1,6 @@
-//! Encoding of the messages between nodes. To a node in another data centre, where bandwidth is scarce,
-//! messages are compressed as one stream per connection: names that an earlier message contained take a
-//! few bytes.
+//! Encoding of the messages between nodes. To a node in another data centre, where bandwidth is
+//! scarce, messages are compressed as one stream per connection: names that an earlier message
+//! contained take a few bytes.
 
 use std::io;
 use std::pin::Pin;
@@ -33,8 +33,8 @@
 /// Compression level: the fastest one, since hosts have little processor time.
 const LEVEL: i32 = 1;
 
-/// Binary logarithm of the number of bytes that a stream looks back: a few messages, which keeps the
-/// memory of a connection small.
+/// Binary logarithm of the number of bytes that a stream looks back: a few messages, which keeps
+/// the memory of a connection small.
 const WINDOW_LOG: u32 = 13;
 
 /// Binary logarithm of the size of the compressor's tables.
@@ -52,8 +52,8 @@
 }
 
 impl<Item, SinkItem> RelayFormat<Item, SinkItem> {
-    /// Creates the format of a new connection. A side that does not compress at first does so once it
-    /// has received a compressed message.
+    /// Creates the format of a new connection. A side that does not compress at first does so once
+    /// it has received a compressed message.
     pub fn new(compresses: bool) -> Self {
         Self { inner: Bincode::default(), compresses, encoder: None, decoder: None }
     }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -48,8 +48,8 @@
 /// then its members have been probed and connections are open.
 const MIN_OWNERSHIP_MS: u64 = 1_000;
 
-/// Shortest ownership with the same primary after which a service may be moved to the data centre of
-/// that primary, in milliseconds. The move saves bandwidth and is not urgent.
+/// Shortest ownership with the same primary after which a service may be moved to the data centre
+/// of that primary, in milliseconds. The move saves bandwidth and is not urgent.
 const ZONE_SETTLE_MS: u64 = 4_000;
 
 /// Shortest time between two offers of a service to other nodes while the store is unreachable or
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -37,8 +37,8 @@
     }
 }
 
-/// A grant whose connection is returned to the pool, or no longer counted, when it is dropped before the
-/// connection is borrowed.
+/// A grant whose connection is returned to the pool, or no longer counted, when it is dropped
+/// before the connection is borrowed.
 pub(super) struct GrantGuard {
     service: Arc<OwnedService>,
     grant: Option<Grant<PooledConnection>>,
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -30,10 +30,10 @@
 /// the member may have no connections left.
 const CONNECT_PAUSE_MS: u64 = 150;
 
-/// Penalties in the choice of a member for a read, in tenths of its slots: for a connection that must be
-/// opened first, for the primary, whose slots writes need, and for another data centre, since bandwidth
-/// between data centres is scarce. A replica elsewhere is chosen once the primary next door has more than
-/// half of its slots in use.
+/// Penalties in the choice of a member for a read, in tenths of its slots: for a connection that
+/// must be opened first, for the primary, whose slots writes need, and for another data centre,
+/// since bandwidth between data centres is scarce. A replica elsewhere is chosen once the primary
+/// next door has more than half of its slots in use.
 const NEW_CONNECTION_PENALTY: usize = 4;
 const PRIMARY_PENALTY: usize = 3;
 const REMOTE_PENALTY: usize = 8;
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -187,7 +187,7 @@
         let Some(granted) = grant.grant() else {
             return AttemptOutcome::Final(refusal_reply(
                 Failure::Busy,
-                "the grant was used already",
+                "the slot is not granted any more",
             ));
         };
         let is_primary = granted.is_primary;
@@ -214,7 +214,7 @@
         let Some(mut borrowed) = grant.borrow(connection) else {
             return AttemptOutcome::Final(refusal_reply(
                 Failure::Busy,
-                "the grant was used already",
+                "the slot is not granted any more",
             ));
         };
         if !self.has_valid_lease() {
--- a/core/tests/core/connection_counts.rs
+++ b/core/tests/core/connection_counts.rs
@@ -1,7 +1,8 @@
 //! The owner's count of the connections to a member.
 //!
-//! Pattern: a request that ends early changes the count of connections by one. A count that is too high
-//! leaves connections unused; one that is too low opens more than the member allows, which resets them.
+//! Pattern: a request that ends early changes the count of connections by one. A count that is too
+//! high leaves connections unused; one that is too low opens more than the member allows, which
+//! resets them.
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
--- a/core/tests/core/metadata_sources.rs
+++ b/core/tests/core/metadata_sources.rs
@@ -1,7 +1,7 @@
 //! From where nodes get metadata, with hundreds of them as data.
 //!
-//! Pattern: all clients of a lost or slow source turn to the same successor, or to the store, in the same
-//! instant, and keep it overloaded after the first failure is over.
+//! Pattern: all clients of a lost or slow source turn to the same successor, or to the store, in
+//! the same instant, and keep it overloaded after the first failure is over.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -140,8 +140,8 @@
     assert!(counts.store() <= 24, "{} reads of the store", counts.store());
 }
 
-/// A start of all hosts: three of them, which the settings name, read the store. They accept connections
-/// soon, and hold their answers back until they have read it.
+/// A start of all hosts: three of them, which the settings name, read the store. They accept
+/// connections soon, and hold their answers back until they have read it.
 #[rstest]
 #[case::thirty(30)]
 #[case::three_hundred(300)]
@@ -167,8 +167,8 @@
     assert!(counts.store() <= hosts + 3, "{} reads of the store", counts.store());
 }
 
-/// After a kill of all processes nodes with a configuration and no owners asked each other in a circle, and
-/// two owners did not learn of their leases for 2.5 s.
+/// After a kill of all processes nodes with a configuration and no owners asked each other in a
+/// circle, and two owners did not learn of their leases for 2.5 s.
 #[test]
 fn a_node_that_knows_no_reader_asks_the_seeds_before_other_nodes() {
     let mut source = MetadataSource::new(0, 7);
@@ -184,8 +184,8 @@
     }
 }
 
-/// In a network split a host reached the store, but waited 2.6 s for the nodes before it, which were on the
-/// other side, and served an old configuration meanwhile.
+/// In a network split a host reached the store, but waited 2.6 s for the nodes before it, which
+/// were on the other side, and served an old configuration meanwhile.
 #[test]
 fn a_host_with_too_old_metadata_reads_the_store_whatever_its_place() {
     let mut topology = topology(23, true);
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -72,8 +72,9 @@
     assert!(healed.elapsed() < Duration::from_millis(1_500), "{:?}", healed.elapsed());
 }
 
-/// A host kept asking a node that had lost the store, whose answers were accepted until they were 2.5 s old
-/// and held back for another second, and refused a new key 3.2 s after it had been issued.
+/// A host kept asking a node that had lost the store, whose answers were accepted until they were
+/// 2.5 s old and held back for another second, and refused a new key 3.2 s after it had been
+/// issued.
 #[tokio::test]
 async fn a_source_with_old_metadata_does_not_hold_its_answer_back() {
     let cluster = TestCluster::start(2).await;
--- a/core/tests/core/placements.rs
+++ b/core/tests/core/placements.rs
@@ -1,7 +1,7 @@
 //! Choice of the nodes that take services over and of those that give some away.
 //!
-//! Pattern: owners gather on hosts that cannot carry them. With 18 hosts of half a core among 295, all 20
-//! services stood on hosts of an eighth of a core.
+//! Pattern: owners gather on hosts that cannot carry them. With 18 hosts of half a core among 295,
+//! all 20 services stood on hosts of an eighth of a core.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -146,7 +146,8 @@
     assert!(placement.move_targets(&records[0], 0).is_empty());
 }
 
-/// Pattern: a service whose owner and primary are in different data centres sends each write across twice.
+/// Pattern: a service whose owner and primary are in different data centres sends each write across
+/// twice.
 #[test]
 fn a_service_moves_to_the_zone_of_its_primary_if_nobody_carries_more_then() {
     let records: Vec<NodeRecord> = (0..6).map(|number| record(number, 3, LARGE)).collect();
--- a/core/tests/core/pools.rs
+++ b/core/tests/core/pools.rs
@@ -215,8 +215,8 @@
     }
 }
 
-/// Pattern: reads that are spread evenly over the data centres of the members pay for bandwidth although
-/// slots next door are free.
+/// Pattern: reads that are spread evenly over the data centres of the members pay for bandwidth
+/// although slots next door are free.
 #[test]
 fn reads_leave_the_data_centre_only_once_its_member_is_half_busy() {
     let elsewhere = |id| MemberEntry { zone: "almaty-b".into(), ..entry(id) };
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -29,10 +29,10 @@
 /// Time without contact after which a peer is considered dead, in milliseconds.
 const DEAD_AFTER_MS: u64 = 6_000;
 
-/// Time after start-up, or after the lease was regained, during which no generation is proposed unless
-/// all daemons of the current one have been heard, in milliseconds. A daemon that returns from a
-/// partition would otherwise leave out those that it has not heard yet, and they would serve nothing
-/// until the generation after.
+/// Time after start-up, or after the lease was regained, during which no generation is proposed
+/// unless all daemons of the current one have been heard, in milliseconds. A daemon that returns
+/// from a partition would otherwise leave out those that it has not heard yet, and they would serve
+/// nothing until the generation after.
 const STARTUP_WAIT_MS: u64 = 1_500;
 
 /// Minimum interval between two proposals of a generation, in milliseconds.
@@ -387,8 +387,8 @@
         }
     }
 
-    /// Returns whether this daemon has held the lease for [`STARTUP_WAIT_MS`], or has heard all other
-    /// daemons of the current generation since it holds the lease.
+    /// Returns whether this daemon has held the lease for [`STARTUP_WAIT_MS`], or has heard all
+    /// other daemons of the current generation since it holds the lease.
     fn has_heard_peers(&self, now_ms: u64) -> bool {
         let Some(since_ms) = self.lease_since_ms else { return false };
         let is_heard = |host: &String| {
--- a/src/fleet/change_log.rs
+++ b/src/fleet/change_log.rs
@@ -42,8 +42,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the table does not respond, or if a row cannot be parsed or is missing: a
-    /// daemon must not act as if it knew the changes from there on.
+    /// Returns an error if the table does not respond, or if a row cannot be parsed or is missing:
+    /// a daemon must not act as if it knew the changes from there on.
     pub async fn read_after(&self, version: u64) -> Result<Vec<Change>, PlatformError> {
         let after = row_key(version);
         let rows = self.platform.read_after(KEY_PREFIX, &after, READ_PAGE_SIZE).await?;
--- a/tests/integration/decisions/change_logs.rs
+++ b/tests/integration/decisions/change_logs.rs
@@ -73,8 +73,8 @@
     assert_eq!(read((1..=5).map(row).collect()).await, Ok(vec![2, 3, 4, 5]));
 }
 
-/// A row that could not be parsed counted as the end of the log, so that the lease was renewed without the
-/// later changes, a withdrawn key for example.
+/// A row that could not be parsed counted as the end of the log, so that the lease was renewed
+/// without the later changes, a withdrawn key for example.
 #[rstest]
 #[case::unreadable(vec![row(1), row(2), Row { value: "{".to_owned(), ..row(3) }, row(4)])]
 #[case::missing(vec![row(1), row(2), row(4)])]
--- a/tests/integration/decisions/versions.rs
+++ b/tests/integration/decisions/versions.rs
@@ -240,8 +240,9 @@
     }
 }
 
-/// A daemon that returned from a partition and had heard one peer started a generation of the two. The
-/// other daemons had no share of any rate, and refused all statements, until the next generation.
+/// A daemon that returned from a partition and had heard one peer started a generation of the two.
+/// The other daemons had no share of any rate, and refused all statements, until the next
+/// generation.
 #[test]
 fn a_returning_daemon_leaves_out_no_daemon_that_it_has_not_heard_yet() {
     let mut simulation = FleetSimulation::new();
