--- a/core/tests/core/relay_formats.rs
+++ b/core/tests/core/relay_formats.rs
@@ -1,7 +1,7 @@
 //! Encoding of messages between nodes.
 //!
 //! Pattern: what every message repeats (names of services, tenants and values) crosses data centres
-//! again and again, at the price of bandwidth.
+//! with each message, at the price of bandwidth.
 
 use std::pin::Pin;
 
