--- a/review/stage/daemons.py
+++ b/review/stage/daemons.py
@@ -103,10 +103,11 @@
                 self.record, pathlib.Path(self.folder.name), f"front-{zone}-{number + 1}", zone,
                 ports[4 * number:4 * number + 4]))
 
-    async def start(self, store, duties, bounds=None):
+    async def start(self, stores, duties):
+        """Starts all daemons. `stores` has the store's port for each of them."""
         seeds = [one.peer for one in self.daemons[:3]]
-        for one in self.daemons:
-            one.write_settings(store, duties, seeds, self.BOUNDS | (bounds or {}))
+        for one, store in zip(self.daemons, stores):
+            one.write_settings(store, duties, seeds, self.BOUNDS)
             one.start()
         for _ in range(200):
             if all([await one.is_ready() for one in self.daemons]):
--- a/review/stage/members.py
+++ b/review/stage/members.py
@@ -244,6 +244,7 @@
         self.runs = []
         self.commits = []
         self.promotes = []
+        self.apart = set()
         self.macs = itertools.count(1)
 
     def next_mac(self):
@@ -263,7 +264,7 @@
     async def replicate(self, source, target):
         """Brings a replica up to date after a short delay. Returns whether it received the log."""
         await asyncio.sleep(LAG_S)
-        while target.is_deaf or target.is_dark:
+        while target.is_deaf or target.is_dark or not self.are_connected(source, target):
             await asyncio.sleep(0.02)
         if target.is_gone or source.is_gone or target.role != "replica" or target.term != source.term:
             return False
@@ -284,11 +285,24 @@
             if other is not member:
                 self.on_contact(other)
 
+    def are_connected(self, one, other):
+        """Returns whether no partition lies between two members."""
+        return (one.name in self.apart) == (other.name in self.apart)
+
+    def partition(self, members):
+        """Cuts some members off from the others. Without members, it ends the partition."""
+        self.apart = {member.name for member in members}
+        self.record.write("network", f"members apart: {', '.join(sorted(self.apart)) or 'none'}")
+        for member in self.members:
+            self.on_contact(member)
+
     def on_contact(self, member):
         """Lets a member follow the newest leader, at once if it is a replica, else a second later."""
         leader = self.leader
         if member.is_dark or member.is_gone or leader.is_dark or leader.is_gone:
             return
+        if not self.are_connected(member, leader):
+            return
         if member is leader:
             for other in self.members:
                 if other is not leader and other.term < leader.term:
@@ -303,6 +317,8 @@
         leader = self.leader
         if member is leader or member.is_dark or member.is_gone or leader.is_dark or leader.is_gone:
             return
+        if member.term >= leader.term or not self.are_connected(member, leader):
+            return
         if member.role == "primary":
             self.record.write(member.name, f"becomes a replica of term {leader.term}")
         member.role, member.term = "replica", leader.term
--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -8,6 +8,7 @@
 from stage.client import Client
 from stage.daemons import Fleet
 from stage.daemons import ROOT
+from stage.link import Link
 from stage.members import Duties
 from stage.members import Group
 from stage.record import Record
@@ -33,6 +34,7 @@
         self.store = Store()
         self.fleet = Fleet(self.record)
         self.version = 7
+        self.links = {}
 
     def manifest(self, sync_replicas):
         def route(kind, timeout_ms, objective_ms, stale_ms):
@@ -54,7 +56,7 @@
         }
 
     async def start(self, daemons=3, members=("i-7f3a91c2", "i-a1b20c3d", "i-c94e55f0"), primary=0,
-                    sync_replicas=0, promote_s=0.3, bounds=None):
+                    sync_replicas=0, promote_s=0.3, has_links=False):
         await self.store.start()
         self.store.put("op", "config", self.manifest(sync_replicas))
         self.group = Group(self.record, self.store, SERVICE, sync_replicas, promote_s)
@@ -64,9 +66,21 @@
             role = "primary" if number == primary else "replica"
             await self.group.add(name, role, ZONES[number % len(ZONES)])
         self.fleet.add(daemons, ZONES)
-        await self.fleet.start(self.store.port, self.duties.port, bounds)
+        stores = [self.store.port] * daemons
+        if has_links:
+            stores = [await self.start_links(daemon) for daemon in self.fleet.daemons]
+        await self.fleet.start(stores, self.duties.port)
         await self.wait_for(self.owner_serves, 10, "no owner serves")
 
+    async def start_links(self, daemon):
+        """Puts a link between a daemon and each member. Returns the daemon's port of the store."""
+        addresses = {}
+        for member in self.group.members:
+            link = await Link(member.port).start()
+            self.links[daemon.name, member.name] = link
+            addresses[member.name] = f"127.0.0.1:{link.port}"
+        return await self.store.start_view(addresses)
+
     def lease(self):
         """Returns the record that names the owner of the service, and its version."""
         found = self.store.decoded("snipehead").get(f"lease/{SERVICE}")
--- a/review/stage/store.py
+++ b/review/stage/store.py
@@ -21,12 +21,28 @@
         self.slowness = 1.0
         self.port = None
         self.parts = {}
-        self.on_write = None
+        self.views = []
 
     async def start(self):
         """Starts to serve."""
         self.server, self.port = await http.serve("127.0.0.1", self.handle)
 
+    async def start_view(self, addresses):
+        """Serves one daemon, which sees other addresses of the members. Returns the port."""
+
+        async def handle(method, path, query, headers, body):
+            status, value = await self.handle(method, path, query, headers, body)
+            if query.get("table") == "servers":
+                for row in value["rows"]:
+                    entry = json.loads(base64.b64decode(row["value"]))
+                    entry["address"] = addresses.get(row["key"], entry["address"])
+                    row["value"] = base64.b64encode(json.dumps(entry).encode()).decode()
+            return status, value
+
+        server, port = await http.serve("127.0.0.1", handle)
+        self.views.append(server)
+        return port
+
     def put(self, table, key, value, part=""):
         """Writes a row as the operator or a member does."""
         self.version += 1
@@ -91,8 +107,6 @@
         for row in call.get("upsertRows", []):
             place = (row["table"], row.get("part", ""), row["key"])
             self.rows[place] = (row["value"], self.version)
-            if self.on_write:
-                self.on_write(place, row["value"])
         for row in call.get("deleteKeys", []):
             self.rows.pop((row["table"], row.get("part", ""), row["key"]), None)
         return 200, self.tail()
