review: scripts name TROUBLE and end their daemons when they are stopped

Each run.sh says what TROUBLE=0 does, and a script that gets SIGTERM ends the daemons that it started.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,6 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")" && PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out.
+cd "$(dirname "$0")" || exit 2
+export TROUBLE="${TROUBLE:-1}" PYTHONDONTWRITEBYTECODE=1
+exec python3 case.py
--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 
 from stage.client import Client
@@ -132,6 +133,8 @@
         finally:
             stage.fleet.end()
 
+    # Ends the daemons also when the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken, stage = asyncio.run(run())
     except (CannotRun, asyncio.TimeoutError, RuntimeError, OSError) as error:
