--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -44,4 +44,5 @@
 pub mod tenant_rates;
 pub mod token_bucket;
 pub mod token_cache;
+pub mod transaction_id;
 pub mod unanswered_work;
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -44,6 +44,7 @@
 use crate::store::MetadataStore;
 use crate::sync::lock;
 use crate::token_cache::TokenCache;
+use crate::transaction_id::TransactionId;
 use crate::unanswered_work::UnansweredWork;
 
 /// Delay before a call that found no owner is retried, unless an owner becomes known earlier.
@@ -363,7 +364,7 @@
     }
 
     /// Aborts a transaction that another node opened, after the connection to that node has ended.
-    pub fn abort_transaction(&self, service: &str, transaction: u64) {
+    pub fn abort_transaction(&self, service: &str, transaction: TransactionId) {
         if let Some(service) = self.owned(service) {
             service.abort_transaction(transaction);
         }
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::statement::DataStatement;
 use crate::store_clock::ClockBounds;
 use crate::tenant_rates::TokenGrant;
+use crate::transaction_id::TransactionId;
 
 /// Age of the last confirmation of the configuration up to which a node counts as reaching the
 /// store, in milliseconds: one and a half rounds of synchronization.
@@ -89,8 +90,8 @@
     pub service: Name,
     /// Tenant for whom it runs.
     pub tenant: Name,
-    /// Number of the open transaction at the owner that the statement belongs to.
-    pub transaction: Option<u64>,
+    /// Open transaction at the owner that the statement belongs to.
+    pub transaction: Option<TransactionId>,
     /// Transaction to start before the statement.
     pub begin: Option<BeginTransaction>,
     /// What to run.
@@ -131,8 +132,8 @@
     Done {
         /// The member's answer.
         answer: Answer,
-        /// Number of the transaction that is open after the statement, if any.
-        transaction: Option<u64>,
+        /// Transaction that is open after the statement, if any.
+        transaction: Option<TransactionId>,
     },
     /// The call failed, and its transaction, if any, has ended.
     Refused(Refusal),
--- a/core/src/relay/format.rs
+++ b/core/src/relay/format.rs
@@ -24,11 +24,12 @@
 /// around it.
 pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
-/// First byte of a message that is not compressed.
-const PLAIN: u8 = 0;
+/// First byte of a message that is not compressed. Together with [`COMPRESSED`] it names the layout
+/// of the messages, so that a daemon with another layout refuses them: 0 and 1 belong to earlier ones.
+const PLAIN: u8 = 2;
 
 /// First byte of a message that continues the compressed stream of its connection.
-const COMPRESSED: u8 = 1;
+const COMPRESSED: u8 = 3;
 
 /// Compression level: the fastest one, since hosts have little processor time.
 const LEVEL: i32 = 1;
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -30,13 +30,14 @@
 use crate::relay::format::RelayFormat;
 use crate::sync::lock;
 use crate::tenant_rates::TokenGrant;
+use crate::transaction_id::TransactionId;
 
 /// Serves one connection of another node. Transactions that were opened over the connection are
 /// aborted when it ends.
 #[derive(Clone)]
 struct PeerServer {
     node: Arc<Node>,
-    transactions: Arc<Mutex<HashSet<(Name, u64)>>>,
+    transactions: Arc<Mutex<HashSet<(Name, TransactionId)>>>,
 }
 
 impl Relay for PeerServer {
@@ -129,7 +130,7 @@
         () = stop.cancelled() => {}
     }
     tracker.close();
-    let transactions: Vec<(Name, u64)> = lock(&server.transactions).drain().collect();
+    let transactions: Vec<(Name, TransactionId)> = lock(&server.transactions).drain().collect();
     for (service, transaction) in transactions {
         node.abort_transaction(&service, transaction);
     }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -2,6 +2,7 @@
 
 pub mod connection;
 pub mod pool;
+pub mod transaction_table;
 
 mod borrowed;
 mod idle_transactions;
@@ -40,6 +41,7 @@
 use crate::service::pool::Pool;
 use crate::service::pool::SlotRequest;
 pub(crate) use crate::service::probe::SYSTEM_TENANT;
+use crate::service::transaction_table::TransactionTable;
 use crate::sync::lock;
 use crate::tenant_rates::TenantRates;
 use crate::tenant_rates::TokenGrant;
@@ -130,9 +132,8 @@
     pool: Mutex<Pool<PooledConnection>>,
     grant_senders: Mutex<HashMap<u64, oneshot::Sender<AcquiredSlot>>>,
     state: Mutex<ServiceState>,
-    idle_transactions: Mutex<HashMap<u64, MemberTransaction>>,
+    idle_transactions: Mutex<TransactionTable<MemberTransaction>>,
     running_transactions: AtomicU64,
-    next_transaction: AtomicU64,
     monitor_wakeup: Notify,
     stop: CancellationToken,
     tasks: TaskTracker,
@@ -167,9 +168,8 @@
             context,
             grant_senders: Mutex::default(),
             state: Mutex::default(),
-            idle_transactions: Mutex::default(),
+            idle_transactions: Mutex::new(TransactionTable::new(fencing_token)),
             running_transactions: AtomicU64::new(0),
-            next_transaction: AtomicU64::new(1),
             monitor_wakeup: Notify::new(),
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
@@ -298,7 +298,7 @@
             );
         }
         self.valid_until_ms.store(0, Ordering::Release);
-        lock(&self.idle_transactions).clear();
+        self.drop_idle_transactions();
     }
 
     /// Treats the lease as expired, stops all tasks, and closes all idle connections. Borrowed
@@ -307,7 +307,7 @@
         self.valid_until_ms.store(0, Ordering::Release);
         self.stop.cancel();
         lock(&self.grant_senders).clear();
-        lock(&self.idle_transactions).clear();
+        self.drop_idle_transactions();
         self.tasks.close();
         self.tasks.wait().await;
         let surplus = lock(&self.pool).set_members(now_ms(), Vec::new(), &|_| false);
--- a/core/src/service/idle_transactions.rs
+++ b/core/src/service/idle_transactions.rs
@@ -1,14 +1,17 @@
 //! Transactions that are open at a member and wait for their next statement.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::clock::now_ms;
 use crate::member::MemberCommand;
+use crate::name::Name;
+use crate::outcome::BlockState;
 use crate::service::OwnedService;
 use crate::service::borrowed::BorrowedConnection;
+use crate::service::transaction_table::UnknownTransaction;
 use crate::sync::lock;
+use crate::transaction_id::TransactionId;
 
 /// Time beyond the idle limit of transactions after which the owner drops one, in milliseconds.
 /// The entry node ends it at the limit, so this is for entry nodes that have disappeared.
@@ -28,36 +31,57 @@
     pub(super) borrowed: BorrowedConnection,
     /// Whether one of its statements was a write.
     pub(super) has_written: bool,
-    /// Time at which its last statement ended, in milliseconds.
-    pub(super) used_at_ms: u64,
 }
 
 impl OwnedService {
-    /// Stores a transaction until its next statement. Returns its number, or `None`, with the
-    /// transaction rolled back, if the lease has expired.
+    /// Stores a transaction of `tenant` until its next statement. Returns its identity, or `None`,
+    /// with the transaction rolled back, if the lease has expired.
     pub(super) fn store_transaction(
         &self,
-        number: Option<u64>,
+        id: Option<TransactionId>,
+        tenant: &Name,
         transaction: MemberTransaction,
-    ) -> Option<u64> {
-        let number =
-            number.unwrap_or_else(|| self.next_transaction.fetch_add(1, Ordering::Relaxed));
+    ) -> Option<TransactionId> {
+        let mut idle = lock(&self.idle_transactions);
         if !self.has_valid_lease() {
             return None;
         }
-        lock(&self.idle_transactions).insert(number, transaction);
-        Some(number)
+        let id = id.unwrap_or_else(|| idle.next_id());
+        idle.store(now_ms(), id, tenant.clone(), transaction);
+        Some(id)
     }
 
-    /// Removes a transaction in order to run a statement in it.
-    pub(super) fn take_transaction(&self, number: u64) -> Option<MemberTransaction> {
-        lock(&self.idle_transactions).remove(&number)
+    /// Removes a transaction in order to run a statement of `tenant` in it. A refusal is logged
+    /// with the id of the statement.
+    pub(super) fn take_transaction(
+        &self,
+        id: TransactionId,
+        tenant: &Name,
+        statement_id: &str,
+    ) -> Result<MemberTransaction, UnknownTransaction> {
+        let taken = lock(&self.idle_transactions).take(id, tenant);
+        if let Err(reason) = &taken {
+            log::info!(
+                event = "transaction_unknown", id = statement_id, service = &*self.name,
+                tenant = &**tenant, reason = reason.to_string(), transaction = id.number,
+                transaction_token = id.fencing_token, token = self.fencing_token;
+                "the statement names a transaction that is not open here and is refused"
+            );
+        }
+        taken
     }
 
     /// Rolls back a transaction whose entry node has disconnected. It does nothing while a
     /// statement of the transaction is running.
-    pub fn abort_transaction(&self, number: u64) {
-        drop(self.take_transaction(number));
+    pub fn abort_transaction(&self, id: TransactionId) {
+        let removed = lock(&self.idle_transactions).remove(id);
+        drop(removed);
+    }
+
+    /// Rolls back all transactions that no statement is running in.
+    pub(super) fn drop_idle_transactions(&self) {
+        let dropped = lock(&self.idle_transactions).take_all();
+        drop(dropped);
     }
 
     /// Rolls a transaction back in the background, and returns its connection to the pool once the
@@ -70,7 +94,9 @@
                 .exchange(&[MemberCommand::Rollback], deadline_at_ms, true)
                 .await;
             match exchanged.as_deref() {
-                Ok([reply]) if reply.result.is_ok() => transaction.borrowed.return_to_pool(),
+                Ok([reply]) if reply.result.is_ok() && reply.block == BlockState::Idle => {
+                    transaction.borrowed.return_to_pool();
+                }
                 _ => drop(transaction),
             }
         });
@@ -85,16 +111,8 @@
             }
             let Some(known) = self.context.configuration.known() else { continue };
             let limit_ms = known.configuration.transaction_idle_ms + IDLE_MARGIN_MS;
-            let now_ms = now_ms();
-            let mut transactions = lock(&self.idle_transactions);
-            let expired: Vec<u64> = transactions
-                .iter()
-                .filter(|(_, transaction)| now_ms > transaction.used_at_ms + limit_ms)
-                .map(|(number, _)| *number)
-                .collect();
-            let dropped: Vec<MemberTransaction> =
-                expired.iter().filter_map(|number| transactions.remove(number)).collect();
-            drop(transactions);
+            let unused_since_ms = now_ms().saturating_sub(limit_ms);
+            let dropped = lock(&self.idle_transactions).take_unused_since(unused_since_ms);
             if !dropped.is_empty() {
                 log::info!(
                     event = "idle_transactions_dropped", service = &*self.name,
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -154,7 +154,7 @@
     /// so that the members are free for the next owner.
     fn release_members(&self) {
         let surplus = lock(&self.pool).take_all_idle();
-        let transactions = std::mem::take(&mut *lock(&self.idle_transactions));
+        let transactions = lock(&self.idle_transactions).take_all();
         if !surplus.is_empty() || !transactions.is_empty() {
             log::warn!(
                 event = "lease_no_longer_valid", service = &*self.name, token = self.fencing_token,
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -77,7 +77,7 @@
             call,
         };
         match timed.call.transaction {
-            Some(number) => self.run_in_transaction(number, timed).await,
+            Some(id) => self.run_in_transaction(id, timed).await,
             None => self.run_with_retries(timed).await,
         }
     }
--- a/core/src/service/transactions.rs
+++ b/core/src/service/transactions.rs
@@ -29,6 +29,7 @@
 use crate::service::runner::refusal_reply;
 use crate::statement::Access;
 use crate::statement::StatementBody;
+use crate::transaction_id::TransactionId;
 
 impl OwnedService {
     /// Starts a transaction at a member and runs its first statement, or its commit if the
@@ -76,7 +77,7 @@
                 };
             }
         }
-        let transaction = MemberTransaction { borrowed, has_written: false, used_at_ms: now_ms() };
+        let transaction = MemberTransaction { borrowed, has_written: false };
         let _running = RunningTransaction::new(self.clone());
         let reply = self.run_action(timed, None, transaction, Some(slot)).await;
         AttemptOutcome::Final(reply)
@@ -85,10 +86,11 @@
     /// Runs a statement, commit or rollback in an open transaction.
     pub(super) async fn run_in_transaction(
         self: &Arc<Self>,
-        number: u64,
+        id: TransactionId,
         timed: TimedCall,
     ) -> CallReply {
-        let Some(transaction) = self.take_transaction(number) else {
+        let call = &timed.call;
+        let Ok(transaction) = self.take_transaction(id, &call.tenant, call.action.id()) else {
             return refusal_reply(Failure::Aborted, "the transaction was rolled back");
         };
         if !self.has_valid_lease() {
@@ -99,7 +101,7 @@
             return CallReply::Done { answer: Answer::local(), transaction: None };
         }
         let _running = RunningTransaction::new(self.clone());
-        self.run_action(&timed, Some(number), transaction, None).await
+        self.run_action(&timed, Some(id), transaction, None).await
     }
 
     /// Runs a statement or commit in an open transaction. It is repeated until the deadline while
@@ -107,7 +109,7 @@
     async fn run_action(
         self: &Arc<Self>,
         timed: &TimedCall,
-        number: Option<u64>,
+        id: Option<TransactionId>,
         mut transaction: MemberTransaction,
         mut slot: Option<SlotGuard>,
     ) -> CallReply {
@@ -139,7 +141,7 @@
                 tokio::time::sleep(BUSY_RETRY_DELAY).await;
                 continue;
             }
-            return self.handle_action_reply(timed, number, transaction, &reply);
+            return self.handle_action_reply(timed, id, transaction, &reply);
         }
     }
 
@@ -182,7 +184,7 @@
     fn handle_action_reply(
         self: &Arc<Self>,
         timed: &TimedCall,
-        number: Option<u64>,
+        id: Option<TransactionId>,
         mut transaction: MemberTransaction,
         reply: &MemberReply,
     ) -> CallReply {
@@ -199,9 +201,8 @@
             }
             Ok(answer) if reply.block == BlockState::Open => {
                 transaction.has_written |= is_write;
-                transaction.used_at_ms = now_ms();
-                match self.store_transaction(number, transaction) {
-                    Some(number) => CallReply::Done { answer, transaction: Some(number) },
+                match self.store_transaction(id, &timed.call.tenant, transaction) {
+                    Some(id) => CallReply::Done { answer, transaction: Some(id) },
                     None => refusal_reply(Failure::Aborted, "this node no longer owns the service"),
                 }
             }
--- a/core/src/session.rs
+++ b/core/src/session.rs
@@ -249,7 +249,7 @@
         let call = Call {
             service: transaction.route.service.clone(),
             tenant: transaction.tenant.clone(),
-            transaction: Some(transaction.number),
+            transaction: Some(transaction.id),
             begin: None,
             action: CallAction::Rollback,
             values: Vec::new(),
@@ -371,10 +371,10 @@
         call.begin = Some(begin);
         let (reply, owner) = self.node.call(call).await;
         match (reply, owner) {
-            (CallReply::Done { answer, transaction: Some(number) }, Some(owner)) => {
+            (CallReply::Done { answer, transaction: Some(id) }, Some(owner)) => {
                 self.record_served(&authorization.tenant, &authorization.route, started_at_ms);
                 self.block = TransactionBlock::Open(RemoteTransaction {
-                    number,
+                    id,
                     owner,
                     tenant: authorization.tenant,
                     route: authorization.route,
@@ -406,9 +406,9 @@
         let call = self.transaction_call(&transaction, action, started_at_ms);
         let reply = self.node.call_at(transaction.owner, call.clone()).await;
         match reply {
-            Ok(CallReply::Done { answer, transaction: Some(number) }) => {
+            Ok(CallReply::Done { answer, transaction: Some(id) }) => {
                 self.record_served(&transaction.tenant, &transaction.route, started_at_ms);
-                transaction.number = number;
+                transaction.id = id;
                 transaction.has_written |= access == Access::Write;
                 self.block = TransactionBlock::Open(transaction);
                 Ok(answer)
@@ -430,7 +430,7 @@
         Call {
             service: transaction.route.service.clone(),
             tenant: transaction.tenant.clone(),
-            transaction: Some(transaction.number),
+            transaction: Some(transaction.id),
             begin: None,
             action,
             values: self.values(),
--- a/core/src/session/transaction_block.rs
+++ b/core/src/session/transaction_block.rs
@@ -5,12 +5,13 @@
 
 use crate::configuration::Route;
 use crate::name::Name;
+use crate::transaction_id::TransactionId;
 
 /// A transaction that is open at the owner of a service.
 #[derive(Clone, Debug)]
 pub(super) struct RemoteTransaction {
-    /// Number of the transaction at the owner.
-    pub(super) number: u64,
+    /// Identity of the transaction at the owner.
+    pub(super) id: TransactionId,
     /// Address of the owner.
     pub(super) owner: SocketAddr,
     /// Tenant that started it.
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -17,3 +17,4 @@
 mod stand_in_store;
 mod store_clocks;
 mod test_cluster;
+mod transaction_tables;
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -306,6 +306,35 @@
     assert_eq!(stale, 0, "a replica that lacks the commits served reads");
 }
 
+/// A statement, and the COMMIT of another caller, ran in transactions that had been started after
+/// the owner was killed and had started again.
+#[tokio::test]
+async fn transactions_of_a_killed_owner_are_refused_once_it_has_started_again() {
+    let mut cluster = TestCluster::start(2).await;
+    cluster.wait_until_serving(1).await;
+    let owner = cluster.owner().expect("a host owns the service");
+    let other = 1 - owner;
+    let mut early = [cluster.open(other, "bookings"), cluster.open(other, "bookings")];
+    for (number, session) in early.iter_mut().enumerate() {
+        run(session, &format!("b{number}"), "BEGIN").await.expect("begun");
+        run(session, &format!("w{number}"), "STORE a 1").await.expect("written");
+    }
+    cluster.restart_host(owner).await;
+    cluster.wait_until_serving(other).await;
+    assert_eq!(cluster.owner(), Some(owner));
+    let mut late = [cluster.open(other, "bookings"), cluster.open(other, "bookings")];
+    for (number, session) in late.iter_mut().enumerate() {
+        run(session, &format!("b1{number}"), "BEGIN").await.expect("begun");
+        run(session, &format!("w1{number}"), "STORE a 2").await.expect("written");
+    }
+    assert_eq!(failure(&mut early[0], "w2", "STORE a 3").await, Some(Failure::Aborted));
+    assert_eq!(failure(&mut early[1], "c1", "COMMIT").await, Some(Failure::Aborted));
+    for (number, session) in late.iter_mut().enumerate() {
+        run(session, &format!("c1{number}"), "COMMIT").await.expect("committed");
+    }
+    assert_eq!(cluster.execution_count("w2") + cluster.execution_count("c1"), 0);
+}
+
 #[tokio::test]
 async fn a_stopping_owner_hands_its_service_over_to_the_other_host_at_once() {
     let cluster = TestCluster::start(2).await;
--- a/core/tests/core/relay_formats.rs
+++ b/core/tests/core/relay_formats.rs
@@ -89,11 +89,11 @@
     let mut asking = Format::new(true);
     let mut answering = Format::new(false);
     let sent = call("1", &letters(1, 500));
-    assert_eq!(encode(&mut answering, &sent)[0], 0);
+    assert_eq!(encode(&mut answering, &sent)[0], 2);
     let request = encode(&mut asking, &sent);
     decode(&mut answering, &request).expect("decoded");
     let answer = encode(&mut answering, &sent);
-    assert_eq!(answer[0], 1);
+    assert_eq!(answer[0], 3);
     assert_eq!(decode(&mut asking, &answer).expect("decoded"), sent);
 }
 
@@ -131,7 +131,7 @@
     #[test]
     fn a_malformed_message_is_an_error(
         message in prop::collection::vec(any::<u8>(), 0..300),
-        kind in 0_u8..3,
+        kind in 0_u8..5,
         flipped in any::<prop::sample::Index>(),
     ) {
         let mut receiver = Format::new(false);
--- a/core/tests/core/test_cluster.rs
+++ b/core/tests/core/test_cluster.rs
@@ -1,5 +1,6 @@
 //! A cluster of nodes over loopback, with stand-ins for members and store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -37,6 +38,7 @@
 pub const WAIT_LIMIT: Duration = Duration::from_secs(15);
 
 pub struct Host {
+    pub address: SocketAddr,
     pub node: Arc<Node>,
     pub stop: CancellationToken,
 }
@@ -95,10 +97,24 @@
 
     pub async fn add_host(&mut self) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let host = self.start_host(self.hosts.len(), listener);
+        self.hosts.push(host);
+    }
+
+    /// Ends a host like a killed process and starts it again at its address.
+    pub async fn restart_host(&mut self, host: usize) {
+        let address = self.hosts[host].address;
+        self.kill(host).await;
+        let listener = TcpListener::bind(address).await.expect("the port is free again");
+        self.hosts[host] = self.start_host(host, listener);
+    }
+
+    fn start_host(&self, number: usize, listener: TcpListener) -> Host {
+        let address = listener.local_addr().expect("the listener has an address");
         let settings = NodeSettings {
             identity: Identity {
-                node: format!("host-{}", self.hosts.len()).into(),
-                address: listener.local_addr().expect("the listener has an address"),
+                node: format!("host-{number}").into(),
+                address,
                 incarnation: ownership::new_incarnation(),
             },
             zone: "almaty-a".into(),
@@ -117,7 +133,7 @@
         ownership::start(&node);
         let stop = CancellationToken::new();
         tokio::spawn(serve_peers(node.clone(), listener, stop.clone()));
-        self.hosts.push(Host { node, stop });
+        Host { address, node, stop }
     }
 
     pub fn session(&self, host: usize, database: &str) -> Result<Session, Failure> {
