--- a/core/src/service/idle_transactions.rs
+++ b/core/src/service/idle_transactions.rs
@@ -5,10 +5,12 @@
 
 use crate::clock::now_ms;
 use crate::member::MemberCommand;
+use crate::member::MemberKey;
 use crate::name::Name;
 use crate::outcome::BlockState;
 use crate::service::OwnedService;
 use crate::service::borrowed::BorrowedConnection;
+use crate::service::pool::WritePermit;
 use crate::service::transaction_table::UnknownTransaction;
 use crate::sync::lock;
 use crate::transaction_id::TransactionId;
@@ -29,6 +31,8 @@
 pub(super) struct MemberTransaction {
     /// Connection on which the transaction is open.
     pub(super) borrowed: BorrowedConnection,
+    /// Permit for writes, if the member was the primary when the transaction was started.
+    pub(super) write_permit: Option<WritePermit>,
     /// Whether one of its statements was a write.
     pub(super) has_written: bool,
 }
@@ -78,6 +82,29 @@
         drop(removed);
     }
 
+    /// Rolls back the idle transactions whose permit for writes was revoked after they had written.
+    pub(super) fn roll_back_revoked(self: &Arc<Self>) {
+        let revoked = lock(&self.idle_transactions).take_if(|transaction| {
+            transaction.has_written && !self.is_permitted(transaction.write_permit.as_ref())
+        });
+        if !revoked.is_empty() {
+            log::info!(
+                event = "transactions_revoked", service = &*self.name, count = revoked.len();
+                "their primary is being replaced, so they can no longer be committed"
+            );
+        }
+        for transaction in revoked {
+            self.roll_back(transaction);
+        }
+    }
+
+    /// Returns the number of idle transactions that may write at `member`.
+    pub(super) fn idle_writers(&self, member: &MemberKey) -> usize {
+        lock(&self.idle_transactions).count_if(|transaction| {
+            transaction.write_permit.is_some() && transaction.borrowed.member.key == *member
+        })
+    }
+
     /// Rolls back all transactions that no statement is running in.
     pub(super) fn drop_idle_transactions(&self) {
         let dropped = lock(&self.idle_transactions).take_all();
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -31,8 +31,9 @@
 /// longer than nearly all statements take.
 const PROBE_BUSY_MS: u64 = 400;
 
-/// Longest wait for running statements of a primary before a planned move, in milliseconds.
-const IN_FLIGHT_LIMIT_MS: u64 = 400;
+/// Longest wait for running statements and open transactions of a primary before a planned move, in
+/// milliseconds. New work at the primary has to wait meanwhile.
+const DRAIN_LIMIT_MS: u64 = 400;
 
 /// Longest wait for a successor to catch up before a planned move, in milliseconds.
 const CATCH_UP_LIMIT_MS: u64 = 1_000;
@@ -194,14 +195,14 @@
     }
 
     /// Stops using a primary that reports that it is a replica, or that is no longer listed.
-    fn drop_demoted_primary(&self, primary: Option<&MemberKey>, views: &[MemberView]) {
+    fn drop_demoted_primary(self: &Arc<Self>, primary: Option<&MemberKey>, views: &[MemberView]) {
         let Some(primary) = primary else { return };
         let view = views.iter().find(|view| view.key == *primary);
         let is_demoted = view.is_none_or(|view| {
             view.failing_since_ms.is_none() && view.status.is_some_and(|status| !status.is_primary)
         });
         if is_demoted {
-            lock(&self.pool).set_primary(now_ms(), None);
+            self.use_primary(None);
             log::info!(
                 event = "primary_lost", service = &*self.name, member = &*primary.id,
                 is_listed = view.is_some(); ""
@@ -229,11 +230,8 @@
                 state.history = Some(CommitHistory::new(status.term, status.position));
             }
         }
-        {
-            let mut pool = lock(&self.pool);
-            pool.set_primary(now_ms(), Some(leader.clone()));
-            pool.set_primary_paused(false);
-        }
+        self.use_primary(Some(leader));
+        lock(&self.pool).set_primary_paused(false);
         log::info!(
             event = "primary_adopted", service = &*self.name, member = &*leader.id,
             term = status.term, position = status.position.to_string(),
@@ -265,12 +263,19 @@
         if !self.has_valid_lease() {
             return;
         }
-        lock(&self.pool).set_primary(now_ms(), None);
+        self.use_primary(None);
         self.promote(probe_connections, primary, &successor).await;
     }
 
+    /// Changes the primary in use. Transactions that wrote at the former one are rolled back.
+    fn use_primary(self: &Arc<Self>, primary: Option<&MemberKey>) {
+        lock(&self.pool).set_primary(now_ms(), primary.cloned());
+        self.roll_back_revoked();
+    }
+
     /// Moves the role of primary away from a member that must leave: pauses new work there, waits
-    /// for running statements to end and for the successor to catch up, and promotes it.
+    /// for running work to end, rolls back the transactions that are still open, waits for the
+    /// successor to catch up, and promotes it.
     async fn move_primary(
         self: &Arc<Self>,
         probe_connections: &mut ProbeConnections,
@@ -281,39 +286,59 @@
             event = "primary_move_started", service = &*self.name, to = &*successor.id,
             from = primary.map_or("-", |primary| &*primary.id); ""
         );
+        // A successor that is far behind is found out before any work has to wait for it.
+        if !self.wait_for_catch_up(probe_connections, &successor).await {
+            return;
+        }
         lock(&self.pool).set_primary_paused(true);
-        let in_flight_until_ms = now_ms() + IN_FLIGHT_LIMIT_MS;
-        while now_ms() < in_flight_until_ms && self.primary_in_flight(primary) > 0 {
+        let drain_until_ms = now_ms() + DRAIN_LIMIT_MS;
+        while now_ms() < drain_until_ms && self.has_work_at(primary) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
+        lock(&self.pool).revoke_write_permits();
+        self.roll_back_revoked();
+        if self.wait_for_catch_up(probe_connections, &successor).await {
+            self.use_primary(None);
+            self.promote(probe_connections, primary, &successor).await;
+        }
+        lock(&self.pool).set_primary_paused(false);
+        self.dispatch();
+    }
+
+    /// Waits until a successor's log includes every commit that is acknowledged now. Returns false
+    /// if it does not in time, or if the successor is no longer listed.
+    async fn wait_for_catch_up(
+        &self,
+        probe_connections: &mut ProbeConnections,
+        successor: &MemberKey,
+    ) -> bool {
         let newest = lock(&self.state).history.as_ref().map(CommitHistory::newest);
         let catch_up_until_ms = now_ms() + CATCH_UP_LIMIT_MS;
-        while let Some(entry) = self.entry_of(&successor) {
+        loop {
+            let Some(entry) = self.entry_of(successor) else { return false };
             self.probe(probe_connections, vec![entry]).await;
-            let position = self.status_of(&successor).map(|status| status.position);
+            let position = self.status_of(successor).map(|status| status.position);
             if position >= newest {
-                break;
+                return true;
             }
             if now_ms() >= catch_up_until_ms || !self.has_valid_lease() {
                 log::info!(
                     event = "primary_move_postponed", service = &*self.name, to = &*successor.id,
                     position = format!("{position:?}"), needed = format!("{newest:?}"); ""
                 );
-                lock(&self.pool).set_primary_paused(false);
-                self.dispatch();
-                return;
+                return false;
             }
             tokio::time::sleep(URGENT_INTERVAL).await;
         }
-        lock(&self.pool).set_primary(now_ms(), None);
-        self.promote(probe_connections, primary, &successor).await;
-        lock(&self.pool).set_primary_paused(false);
-        self.dispatch();
     }
 
-    fn primary_in_flight(&self, primary: Option<&MemberKey>) -> usize {
-        let pool = lock(&self.pool);
-        primary.and_then(|key| pool.members().get(key)).map_or(0, |member| member.in_flight)
+    /// Returns whether statements are running, or transactions that may write are open, at the
+    /// primary.
+    fn has_work_at(&self, primary: Option<&MemberKey>) -> bool {
+        let Some(primary) = primary else { return false };
+        let in_flight =
+            lock(&self.pool).members().get(primary).map_or(0, |member| member.in_flight);
+        in_flight > 0 || self.idle_writers(primary) > 0
     }
 
     /// Records and orders a promotion and waits until the member is primary. Then it demotes the
@@ -343,11 +368,11 @@
             return;
         }
         self.adopt_primary(successor);
-        let _ = self.context.node.record_promotion(&self.name, None).await;
         let term = self.status_of(successor).map(|status| status.term);
         if let (Some(former), Some(term)) = (former.and_then(|key| self.entry_of(key)), term) {
             self.tasks.spawn(self.clone().demote_former_primary(former, term));
         }
+        let _ = self.context.node.record_promotion(&self.name, None).await;
     }
 
     /// Returns the newest term that this owner has served, or 0 if it has had no primary yet.
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -75,8 +75,8 @@
 pub struct Grant<Conn> {
     /// Member that runs the statement.
     pub member: Arc<MemberEntry>,
-    /// Whether it is the primary.
-    pub is_primary: bool,
+    /// Permit for writes, if it is the primary.
+    pub write_permit: Option<WritePermit>,
     /// Idle connection of the tenant. If it is `None`, the caller opens one, unless it uses the
     /// connection of an open transaction.
     pub connection: Option<Conn>,
@@ -86,6 +86,14 @@
     pub down: CancellationToken,
 }
 
+/// Permit to write at the primary. It ends when that primary is about to be replaced, and a write
+/// that is sent or acknowledged after that could be missing from the log of its successor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WritePermit {
+    member: MemberKey,
+    epoch: u64,
+}
+
 /// State of a member in the pool.
 pub struct PoolMember<Conn> {
     /// Entry from service discovery.
@@ -122,6 +130,7 @@
     next_ticket: u64,
     primary: Option<MemberKey>,
     primary_since_ms: u64,
+    write_epoch: u64,
     is_primary_paused: bool,
     max_connections: usize,
     cold_per_s: f64,
@@ -138,6 +147,7 @@
             next_ticket: 0,
             primary: None,
             primary_since_ms: 0,
+            write_epoch: 0,
             is_primary_paused: false,
             max_connections: RESERVED_CONNECTIONS + 1,
             cold_per_s: 0.0,
@@ -225,14 +235,25 @@
         self.primary_since_ms
     }
 
-    /// Sets the primary in use from `now_ms` on.
+    /// Sets the primary in use from `now_ms` on. A change revokes the permits for writes.
     pub fn set_primary(&mut self, now_ms: u64, primary: Option<MemberKey>) {
         if self.primary != primary {
             self.primary_since_ms = now_ms;
+            self.revoke_write_permits();
         }
         self.primary = primary;
     }
 
+    /// Revokes all permits for writes that were given so far.
+    pub fn revoke_write_permits(&mut self) {
+        self.write_epoch += 1;
+    }
+
+    /// Returns whether a write with this permit may still be sent and acknowledged.
+    pub fn is_permitted(&self, permit: &WritePermit) -> bool {
+        permit.epoch == self.write_epoch && self.primary.as_ref() == Some(&permit.member)
+    }
+
     /// Stops or resumes granting new work at the primary. Open transactions continue.
     pub fn set_primary_paused(&mut self, is_paused: bool) {
         self.is_primary_paused = is_paused;
@@ -370,6 +391,8 @@
     ) -> Option<Grant<Conn>> {
         let limit = self.connection_limit();
         let is_primary = self.primary.as_ref() == Some(key);
+        let write_permit =
+            is_primary.then(|| WritePermit { member: key.clone(), epoch: self.write_epoch });
         let member = self.members.get_mut(key)?;
         if member.in_flight == 0 {
             member.busy_since_ms = now_ms;
@@ -395,7 +418,7 @@
         }
         let grant = Grant {
             member: member.entry.clone(),
-            is_primary,
+            write_permit,
             connection,
             is_counted,
             down: member.down.clone(),
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -26,6 +26,7 @@
 use crate::service::connection::PooledConnection;
 use crate::service::pool::SlotRequest;
 use crate::service::pool::SlotTarget;
+use crate::service::pool::WritePermit;
 use crate::statement::Access;
 use crate::statement::DataStatement;
 use crate::statement::StatementBody;
@@ -49,6 +50,18 @@
     pub(super) objective_at_ms: u64,
 }
 
+/// An attempt with everything that it needs to send its statement.
+pub(super) struct StartedAttempt {
+    pub(super) borrowed: BorrowedConnection,
+    pub(super) slot: SlotGuard,
+    /// Permit for writes, if the member is the primary.
+    pub(super) write_permit: Option<WritePermit>,
+    /// Commands that prepare the connection for the session.
+    pub(super) commands: Vec<MemberCommand>,
+    /// Position that the member's log must include.
+    pub(super) floor: Option<LogPosition>,
+}
+
 /// Outcome of one attempt.
 pub(super) enum AttemptOutcome {
     /// Reply for the caller.
@@ -62,6 +75,15 @@
     },
 }
 
+/// Returns whether a call writes or starts a transaction that may write.
+fn needs_primary(call: &Call) -> bool {
+    match (&call.begin, &call.action) {
+        (Some(begin), _) => !begin.is_read_only,
+        (None, CallAction::Run(statement)) => statement.access == Access::Write,
+        (None, _) => true,
+    }
+}
+
 pub(super) fn refusal_reply(failure: Failure, detail: &str) -> CallReply {
     CallReply::Refused(Refusal::new(failure, detail))
 }
@@ -138,14 +160,9 @@
     ) -> Option<(SlotTarget, LogPosition)> {
         let state = lock(&self.state);
         let history = state.history.as_ref()?;
-        let is_write = match (&call.begin, &call.action) {
-            (Some(begin), _) => !begin.is_read_only,
-            (None, CallAction::Run(statement)) => statement.access == Access::Write,
-            (None, _) => true,
-        };
         let required = match call.read_requirement {
             ReadRequirement::BoundedStaleness { max_staleness_ms, floor }
-                if !is_write && !must_use_primary =>
+                if !needs_primary(call) && !must_use_primary =>
             {
                 let by_age = history.floor(now_ms(), max_staleness_ms);
                 let own_writes = floor.map(|floor| history.rebase(floor)).unwrap_or_default();
@@ -190,7 +207,7 @@
                 "the slot is not granted any more",
             ));
         };
-        let is_primary = granted.is_primary;
+        let write_permit = granted.write_permit.clone();
         let member = granted.member.clone();
         let mut connection = granted.connection.take();
         // A write on a connection that the member has closed would have an unknown outcome.
@@ -221,6 +238,11 @@
             borrowed.return_to_pool();
             return AttemptOutcome::Final(CallReply::NotOwner { owner: None });
         }
+        if needs_primary(call) && !self.is_permitted(write_permit.as_ref()) {
+            borrowed.return_to_pool();
+            let refusal = Refusal::new(Failure::Busy, "the primary of the service is changing");
+            return AttemptOutcome::Retry { excluded: None, refusal };
+        }
         let shape = match &call.action {
             CallAction::Run(DataStatement {
                 body: StatementBody::Execute { shape, .. }, ..
@@ -232,12 +254,16 @@
             .map(|connection| connection.setup_commands(&call.values, shape.as_ref(), true))
             .unwrap_or_default();
         // The log of the primary includes every acknowledged position.
-        let floor = (!is_primary && floor != LogPosition::default()).then_some(floor);
+        let floor = (write_permit.is_none() && floor != LogPosition::default()).then_some(floor);
         match &call.begin {
             Some(begin) => {
-                self.begin_transaction(timed, begin, borrowed, slot, commands, floor).await
+                let started = StartedAttempt { borrowed, slot, write_permit, commands, floor };
+                self.begin_transaction(timed, begin, started).await
+            }
+            None => {
+                let started = StartedAttempt { borrowed, slot, write_permit, commands, floor };
+                self.run_single(timed, started).await
             }
-            None => self.run_single(timed, borrowed, slot, commands, floor).await,
         }
     }
 
@@ -274,11 +300,9 @@
     async fn run_single(
         self: &Arc<Self>,
         timed: &TimedCall,
-        mut borrowed: BorrowedConnection,
-        slot: SlotGuard,
-        mut commands: Vec<MemberCommand>,
-        floor: Option<LogPosition>,
+        started: StartedAttempt,
     ) -> AttemptOutcome {
+        let StartedAttempt { mut borrowed, slot, write_permit, mut commands, floor } = started;
         let CallAction::Run(statement) = &timed.call.action else {
             borrowed.return_to_pool();
             return AttemptOutcome::Final(refusal_reply(
@@ -308,10 +332,13 @@
                 return AttemptOutcome::Final(refusal_reply(Failure::InDoubt, &detail));
             }
         };
-        let result = self.acknowledge_reply(&reply, !is_read);
+        let commit = if is_read { None } else { Some(write_permit.as_ref()) };
+        let result = self.acknowledge_reply(&reply, commit);
         match result {
             Ok(answer) => {
-                borrowed.return_to_pool();
+                if reply.block == BlockState::Idle {
+                    borrowed.return_to_pool();
+                }
                 AttemptOutcome::Final(CallReply::Done { answer, transaction: None })
             }
             Err(refusal) => self.handle_refusal(refusal, is_read, &reply, borrowed),
@@ -345,15 +372,20 @@
         AttemptOutcome::Retry { excluded, refusal }
     }
 
-    /// Converts a member's reply to an answer. A commit is added to the commit history and counts
-    /// as acknowledged from then on.
+    /// Returns whether a write with this permit may be sent or acknowledged.
+    pub(super) fn is_permitted(&self, permit: Option<&WritePermit>) -> bool {
+        permit.is_some_and(|permit| lock(&self.pool).is_permitted(permit))
+    }
+
+    /// Converts a member's reply to an answer. A reply to a commit is given with the permit of the
+    /// commit; it is added to the commit history and counts as acknowledged from then on.
     pub(super) fn acknowledge_reply(
         &self,
         reply: &MemberReply,
-        is_commit: bool,
+        commit: Option<Option<&WritePermit>>,
     ) -> Result<Answer, Refusal> {
         let signature: Name = reply.result.clone()?;
-        if is_commit {
+        if let Some(permit) = commit {
             let Some(position) = reply.position else {
                 return Err(Refusal::new(
                     Failure::InDoubt,
@@ -366,6 +398,14 @@
                     "the statement ran, but this node no longer owns the service",
                 ));
             }
+            // The pool stays locked so that a revocation finds every acknowledged commit recorded.
+            let pool = lock(&self.pool);
+            if !permit.is_some_and(|permit| pool.is_permitted(permit)) {
+                return Err(Refusal::new(
+                    Failure::InDoubt,
+                    "the statement ran, but its primary was being replaced",
+                ));
+            }
             if let Some(history) = lock(&self.state).history.as_mut() {
                 history.acknowledge(now_ms(), position);
             }
--- a/core/src/service/transaction_table.rs
+++ b/core/src/service/transaction_table.rs
@@ -100,6 +100,23 @@
         unused.map(|(_, entry)| entry.transaction).collect()
     }
 
+    /// Removes the transactions for which `is_match` holds.
+    pub fn take_if<Match>(&mut self, is_match: Match) -> Vec<Transaction>
+    where
+        Match: Fn(&Transaction) -> bool,
+    {
+        let matching = self.idle.extract_if(|_, entry| is_match(&entry.transaction));
+        matching.map(|(_, entry)| entry.transaction).collect()
+    }
+
+    /// Returns the number of transactions for which `is_match` holds.
+    pub fn count_if<Match>(&self, is_match: Match) -> usize
+    where
+        Match: Fn(&Transaction) -> bool,
+    {
+        self.idle.values().filter(|entry| is_match(&entry.transaction)).count()
+    }
+
     /// Removes all transactions.
     pub fn take_all(&mut self) -> Vec<Transaction> {
         self.idle.drain().map(|(_, entry)| entry.transaction).collect()
--- a/core/src/service/transactions.rs
+++ b/core/src/service/transactions.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use crate::clock::now_ms;
-use crate::log_position::LogPosition;
 use crate::member::MemberCommand;
 use crate::member::MemberError;
 use crate::member::MemberKey;
@@ -16,7 +15,6 @@
 use crate::relay::CallAction;
 use crate::relay::CallReply;
 use crate::service::OwnedService;
-use crate::service::borrowed::BorrowedConnection;
 use crate::service::borrowed::RunningTransaction;
 use crate::service::borrowed::SlotGuard;
 use crate::service::idle_transactions::MemberTransaction;
@@ -24,6 +22,7 @@
 use crate::service::pool::SlotTarget;
 use crate::service::runner::AttemptOutcome;
 use crate::service::runner::BUSY_RETRY_DELAY;
+use crate::service::runner::StartedAttempt;
 use crate::service::runner::TimedCall;
 use crate::service::runner::last_reply;
 use crate::service::runner::refusal_reply;
@@ -31,6 +30,9 @@
 use crate::statement::StatementBody;
 use crate::transaction_id::TransactionId;
 
+/// Reason given for a transaction that wrote at a primary that is being replaced.
+const PRIMARY_REPLACED: &str = "rolled back: the primary of the service is changing";
+
 impl OwnedService {
     /// Starts a transaction at a member and runs its first statement, or its commit if the
     /// transaction is empty.
@@ -38,11 +40,9 @@
         self: &Arc<Self>,
         timed: &TimedCall,
         begin: &BeginTransaction,
-        mut borrowed: BorrowedConnection,
-        slot: SlotGuard,
-        mut commands: Vec<MemberCommand>,
-        floor: Option<LogPosition>,
+        started: StartedAttempt,
     ) -> AttemptOutcome {
+        let StartedAttempt { mut borrowed, slot, write_permit, mut commands, floor } = started;
         let member = borrowed.member.key.clone();
         let is_read_only = begin.is_read_only;
         commands.push(MemberCommand::Begin { id: begin.id.clone(), is_read_only, floor });
@@ -77,7 +77,7 @@
                 };
             }
         }
-        let transaction = MemberTransaction { borrowed, has_written: false };
+        let transaction = MemberTransaction { borrowed, write_permit, has_written: false };
         let _running = RunningTransaction::new(self.clone());
         let reply = self.run_action(timed, None, transaction, Some(slot)).await;
         AttemptOutcome::Final(reply)
@@ -124,6 +124,13 @@
             if !self.has_valid_lease() {
                 return refusal_reply(Failure::Aborted, "this node no longer owns the service");
             }
+            if transaction.has_written || is_write(&timed.call.action) {
+                // Nothing is kept: a transaction whose COMMIT was not sent can only be rolled back.
+                if !self.is_permitted(transaction.write_permit.as_ref()) {
+                    self.roll_back(transaction);
+                    return refusal_reply(Failure::Aborted, PRIMARY_REPLACED);
+                }
+            }
             let commands = action_commands(timed, &mut transaction);
             let may_abandon =
                 !matches!(timed.call.action, CallAction::Commit { .. }) || !transaction.has_written;
@@ -189,9 +196,10 @@
         reply: &MemberReply,
     ) -> CallReply {
         let is_commit = matches!(timed.call.action, CallAction::Commit { .. });
-        let is_write = matches!(&timed.call.action,
-            CallAction::Run(statement) if statement.access == Access::Write);
-        let result = self.acknowledge_reply(reply, is_commit && transaction.has_written);
+        let is_write = is_write(&timed.call.action);
+        let commit =
+            (is_commit && transaction.has_written).then_some(transaction.write_permit.as_ref());
+        let result = self.acknowledge_reply(reply, commit);
         match result {
             Ok(answer) if is_commit => {
                 if reply.block == BlockState::Idle {
@@ -226,6 +234,10 @@
     }
 }
 
+fn is_write(action: &CallAction) -> bool {
+    matches!(action, CallAction::Run(statement) if statement.access == Access::Write)
+}
+
 fn action_commands(timed: &TimedCall, transaction: &mut MemberTransaction) -> Vec<MemberCommand> {
     let mut commands = Vec::new();
     match &timed.call.action {
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -18,3 +18,4 @@
 mod store_clocks;
 mod test_cluster;
 mod transaction_tables;
+mod write_permits;
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -410,6 +410,76 @@
     assert!(!cluster.group.executed("m1").contains(&"w1 STORE a 1".to_owned()));
 }
 
+/// Marks a member as draining, and waits until the promotion of another one is ordered.
+async fn drain_until_ordered(cluster: &TestCluster, member: &str) {
+    let mut entries = cluster.group.entries();
+    entries.iter_mut().for_each(|entry| entry.is_draining = &*entry.key.id == member);
+    cluster.store.set_members(entries);
+    let started = Instant::now();
+    while cluster.group.promotions().is_empty() {
+        assert!(started.elapsed() < WAIT_LIMIT, "no promotion is ordered");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// COMMITs of open transactions were sent to the former primary while and after its successor was
+/// promoted, acknowledged, and in no log afterwards.
+#[tokio::test]
+async fn an_open_transaction_is_refused_once_its_primary_is_being_replaced() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.promotion_ms.store(600, Ordering::Release);
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "b1", "BEGIN").await.expect("begun");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    drain_until_ordered(&cluster, "m1").await;
+    assert_eq!(failure(&mut session, "c1", "COMMIT").await, Some(Failure::Aborted));
+    assert_eq!(cluster.execution_count("c1"), 0);
+    run(&mut session, "w2", "STORE a 2").await.expect("written at the successor");
+    assert!(!cluster.group.executed("m1").contains(&"w2 STORE a 2".to_owned()));
+}
+
+/// A reply of the former primary that came after the order was passed on as a success.
+#[rstest]
+#[case::single_write(false)]
+#[case::commit(true)]
+#[tokio::test]
+async fn a_write_whose_reply_comes_after_the_change_of_primary_is_in_doubt(
+    #[case] is_commit: bool,
+) {
+    let cluster = TestCluster::start(1).await;
+    let mut session = cluster.open(0, "bookings");
+    if is_commit {
+        run(&mut session, "b1", "BEGIN").await.expect("begun");
+        run(&mut session, "w1", "STORE a 1").await.expect("written");
+    }
+    cluster.group.set_latency("m1", 1_500);
+    let text = if is_commit { "COMMIT" } else { "STORE a 1" };
+    let (outcome, ()) =
+        tokio::join!(failure(&mut session, "x1", text), drain_until_ordered(&cluster, "m1"));
+    assert_eq!(outcome, Some(Failure::InDoubt));
+    cluster.wait_until_serving(0).await;
+}
+
+/// A promotion was ordered although the successor had left the list in the meantime.
+#[tokio::test]
+async fn a_successor_that_leaves_during_a_move_is_not_promoted() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.stall_replication("m2");
+    cluster.group.stall_replication("m3");
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    let mut entries = cluster.group.entries();
+    entries[0].is_draining = true;
+    cluster.store.set_members(entries.clone());
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    for entry in &mut entries {
+        entry.key.incarnation += 10;
+    }
+    cluster.store.set_members(entries);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(cluster.group.promotions(), []);
+}
+
 #[tokio::test]
 async fn a_tenant_is_refused_beyond_its_rate_with_the_time_until_a_retry() {
     let cluster = TestCluster::start(1).await;
--- a/core/tests/core/pools.rs
+++ b/core/tests/core/pools.rs
@@ -13,7 +13,7 @@
 use snipehead_core::service::pool::SlotRequest;
 use snipehead_core::service::pool::SlotTarget;
 
-struct FakeConnection {
+pub struct FakeConnection {
     tenant: Name,
 }
 
