--- a/core/src/failover.rs
+++ b/core/src/failover.rs
@@ -30,6 +30,8 @@
     pub is_refused: bool,
     /// Replication state that the member last reported.
     pub status: Option<MemberStatus>,
+    /// Whether the last order to promote it was refused or had no effect.
+    pub is_unpromotable: bool,
 }
 
 /// What to do about a service's primary.
@@ -46,18 +48,27 @@
     Move(MemberKey),
 }
 
+/// Returns whether the primary in use leads a newer term than the one that it is used in: it has been
+/// replaced and promoted again since.
+pub fn leads_newer_term(known: Option<&MemberKey>, used_term: u64, members: &[MemberView]) -> bool {
+    let primary = known.and_then(|key| members.iter().find(|member| member.key == *key));
+    let status = primary.and_then(|member| member.status);
+    status.is_some_and(|status| status.is_primary && status.term > used_term)
+}
+
 /// Decides what to do about the primary of a service. `known` is the primary in use,
-/// `without_primary_since_ms` the time since which there has been none, and `served_term` the
-/// newest term that the owner has served: a member that leads an older term has been replaced.
+/// `without_primary_since_ms` the time since which there has been none, and `min_term` the newest term
+/// that an owner has served or has ordered a promotion for: a member that leads an older term has
+/// been replaced, or is about to be.
 pub fn decide(
     now_ms: u64,
     known: Option<&MemberKey>,
     without_primary_since_ms: u64,
-    served_term: u64,
+    min_term: u64,
     members: &[MemberView],
 ) -> Decision {
     let reported_terms = members.iter().filter_map(|member| Some(member.status?.term));
-    let newest_term = reported_terms.chain([served_term]).max();
+    let newest_term = reported_terms.chain([min_term]).max();
     let leader = members.iter().find(|member| {
         member.failing_since_ms.is_none()
             && member
@@ -95,9 +106,13 @@
     successor(members, current.unwrap_or(&no_member)).map_or(Decision::Keep, Decision::Replace)
 }
 
-/// Returns the member with the newest log among those that answer and need not leave.
+/// Returns the member with the newest log among those that answer and need not leave. One whose
+/// promotion had no effect is the last choice.
 fn successor(members: &[MemberView], except: &MemberKey) -> Option<MemberKey> {
-    let rank = |member: &&MemberView| member.status.map_or(LogPosition::default(), |s| s.position);
+    let rank = |member: &&MemberView| {
+        let position = member.status.map_or(LogPosition::default(), |status| status.position);
+        (!member.is_unpromotable, position)
+    };
     members
         .iter()
         .filter(|member| member.key != *except && !member.must_leave)
--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -19,6 +19,7 @@
 use crate::store_clock::ClockBounds;
 use crate::store_clock::ClockReading;
 use crate::store_clock::StoreClock;
+use crate::succession::Leadership;
 
 /// Validity of a lease after its renewal was sent, in milliseconds. It survives an outage of the
 /// store of nearly three seconds, and bounds how long a service is down when its owner fails.
@@ -75,11 +76,27 @@
     pub preferred_owner: Option<Name>,
     /// Member whose promotion was ordered and is not known to have completed or failed.
     pub pending_promotion: Option<Name>,
+    /// Newest term that a holder has served or has ordered a promotion for.
+    #[serde(default)]
+    pub term: u64,
+    /// Primary that was last served.
+    #[serde(default)]
+    pub primary: Option<Name>,
     /// Upper bound of the store's clock when the record was sent, in milliseconds.
     #[serde(default)]
     pub sent_at_store_ms: Option<u64>,
 }
 
+impl LeaseRecord {
+    fn leadership(&self) -> Leadership {
+        Leadership {
+            term: self.term,
+            primary: self.primary.clone(),
+            pending_promotion: self.pending_promotion.clone(),
+        }
+    }
+}
+
 /// A lease, with the time since its record last changed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ObservedLease {
@@ -135,7 +152,7 @@
     is_offered: bool,
     /// Until when the previous holder, which offered the lease, may still act as owner.
     inactive_until_ms: u64,
-    pending_promotion: Option<Name>,
+    leadership: Leadership,
 }
 
 /// All leases as one process knows them.
@@ -195,7 +212,7 @@
                 if lease.acquired_version.is_none() {
                     lease.acquired_version = Some(version);
                     lease.inactive_until_ms = if was_offered { now_ms + LEASE_MS } else { 0 };
-                    lease.pending_promotion.clone_from(&record.pending_promotion);
+                    lease.leadership = record.leadership();
                 }
                 let sent = lease.sent.iter().find(|(renewal, _)| *renewal == record.renewal);
                 let sent_at_ms = sent.map_or(0, |(_, at_ms)| *at_ms);
@@ -345,10 +362,10 @@
             lease.sent.pop_front();
         }
         lease.next_write_at_ms = now_ms + RENEW_RETRY_MS;
-        // A new holder inherits a promotion that the previous one did not complete.
-        let pending_promotion = match lease.acquired_version {
-            Some(_) => lease.pending_promotion.clone(),
-            None => lease.record.as_ref().and_then(|record| record.pending_promotion.clone()),
+        // A new holder inherits what the previous one has recorded.
+        let leadership = match (lease.acquired_version, &lease.record) {
+            (None, Some(record)) => record.leadership(),
+            _ => lease.leadership.clone(),
         };
         let record = LeaseRecord {
             holder: self.identity.node.clone(),
@@ -357,29 +374,38 @@
             renewal,
             is_released,
             preferred_owner,
-            pending_promotion,
+            pending_promotion: leadership.pending_promotion,
+            term: leadership.term,
+            primary: leadership.primary,
             sent_at_store_ms: self.store_clock.at_most_ms(now_ms),
         };
         Some(LeaseWrite { service: service.clone(), record, expected: lease.version })
     }
 
-    /// Sets or clears the pending promotion, which every renewal includes. Returns a write that
-    /// stores it at once.
-    pub fn set_pending_promotion(
+    /// Sets what is recorded about the primary, which every renewal includes. Returns a write that
+    /// stores it at once, or `None` if this process does not hold the lease.
+    pub fn set_leadership(
         &mut self,
         now_ms: u64,
         service: &Name,
-        member: Option<Name>,
+        leadership: Leadership,
     ) -> Option<LeaseWrite> {
         let lease = self.leases.get_mut(service)?;
         lease.acquired_version?;
-        lease.pending_promotion = member;
+        lease.leadership = leadership;
         self.write(now_ms, service, false, None)
     }
 
-    /// Returns the member whose promotion is pending.
-    pub fn pending_promotion(&self, service: &Name) -> Option<Name> {
-        self.leases.get(service)?.pending_promotion.clone()
+    /// Takes back what was set about the primary and is not known to be stored.
+    pub fn restore_leadership(&mut self, service: &Name, leadership: Leadership) {
+        if let Some(lease) = self.leases.get_mut(service) {
+            lease.leadership = leadership;
+        }
+    }
+
+    /// Returns what is recorded about the primary.
+    pub fn leadership(&self, service: &Name) -> Leadership {
+        self.leases.get(service).map(|lease| lease.leadership.clone()).unwrap_or_default()
     }
 
     /// Records that the previous holder of an offered lease no longer acts as owner.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod statement;
 pub mod store;
 pub mod store_clock;
+pub mod succession;
 pub mod sync;
 pub mod tenant_rates;
 pub mod token_bucket;
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -177,6 +177,24 @@
     fn decode_status(&self, reply: &MemberReply) -> Option<MemberStatus>;
 }
 
+/// Why an order to promote a member was not confirmed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PromotionError {
+    /// The order was refused or not sent; it has no effect.
+    NotDone(String),
+    /// The order may have been carried out, or may be carried out later.
+    Unknown(String),
+}
+
+impl std::fmt::Display for PromotionError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotDone(reason) => write!(formatter, "not done: {reason}"),
+            Self::Unknown(reason) => write!(formatter, "may take effect: {reason}"),
+        }
+    }
+}
+
 /// Promotes members through the platform, which accepts orders from one node at a time.
 #[async_trait]
 pub trait MemberPromoter: Send + Sync {
@@ -185,5 +203,10 @@
     /// # Errors
     ///
     /// Returns an error when the order is not known to be accepted.
-    async fn promote(&self, service: &str, member: &str, fencing_token: u64) -> Result<(), String>;
+    async fn promote(
+        &self,
+        service: &str,
+        member: &str,
+        fencing_token: u64,
+    ) -> Result<(), PromotionError>;
 }
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -33,6 +33,7 @@
 use crate::service::ServiceContext;
 use crate::store::StoreError;
 use crate::store::WriteOutcome;
+use crate::succession::Leadership;
 use crate::sync::lock;
 
 /// Interval at which the lease table is checked for due writes.
@@ -63,6 +64,10 @@
 /// than a write usually takes, shorter than a write to a slow store.
 const SLOW_WRITE_THRESHOLD: Duration = Duration::from_millis(500);
 
+/// Number of attempts to record a change of primary in a lease. Renewals that are on their way can
+/// make an attempt fail.
+const RECORD_ATTEMPTS: u32 = 3;
+
 /// Returns a random identity for a new process.
 pub fn new_incarnation() -> u64 {
     rand::random()
@@ -115,28 +120,51 @@
         }
     };
     record_store_reachability(node, &write.service, outcome.is_ok()).await;
-    let now_ms = now_ms();
     if matches!(outcome, Err(StoreError::NotDone(_))) {
-        lock(&node.lease_table).schedule_retry(now_ms, &write.service);
+        lock(&node.lease_table).schedule_retry(now_ms(), &write.service);
     }
-    let written = match outcome {
+    let written = apply_write_outcome(node, write, outcome) == LeaseWriteResult::Written;
+    apply_lease_state(node);
+    written
+}
+
+/// Result of a write of a lease, applied to the lease table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaseWriteResult {
+    /// The record is stored.
+    Written,
+    /// The store had another version, which this node now knows.
+    Conflict,
+    /// The record is not known to be stored.
+    Failed,
+}
+
+/// Applies the outcome of a write of a lease to the lease table.
+fn apply_write_outcome(
+    node: &Node,
+    write: LeaseWrite,
+    outcome: Result<WriteOutcome, StoreError>,
+) -> LeaseWriteResult {
+    let now_ms = now_ms();
+    match outcome {
         Ok(WriteOutcome::Written(version)) => {
             apply_lease(node, now_ms, &write.service, write.record, version);
-            true
+            LeaseWriteResult::Written
         }
         Ok(WriteOutcome::Conflict(Some(record))) => {
             match serde_json::from_slice::<LeaseRecord>(&record.value) {
                 Ok(lease) => apply_lease(node, now_ms, &write.service, lease, record.version),
                 Err(error) => {
                     log::warn!(
-                        event = "lease_record_unreadable", key = key, error = error.to_string();
+                        event = "lease_record_unreadable", service = &*write.service,
+                        error = error.to_string();
                         "the lease record that the store holds cannot be decoded and is ignored"
                     );
                 }
             }
-            false
+            LeaseWriteResult::Conflict
         }
-        Ok(WriteOutcome::Conflict(None)) => false,
+        Ok(WriteOutcome::Conflict(None)) => LeaseWriteResult::Failed,
         Err(error) => {
             log::info!(
                 event = "lease_write_failed", service = &*write.service,
@@ -144,11 +172,9 @@
                 "the lease is not known to be written; the write is repeated if it is still due"
             );
             node.refresh.notify_one();
-            false
+            LeaseWriteResult::Failed
         }
-    };
-    apply_lease_state(node);
-    written
+    }
 }
 
 /// Records whether this node reaches the store. A store that answers a read but no write counts as
@@ -165,13 +191,13 @@
 fn apply_lease_state(node: &Arc<Node>) {
     let now_ms = now_ms();
     let leases = lock(&node.lease_table);
-    let held: Vec<(Name, u64, u64, Option<Name>)> = leases
+    let held: Vec<(Name, u64, u64, Leadership)> = leases
         .held_services()
         .into_iter()
         .filter_map(|service| {
             let (valid_until_ms, token) = leases.active_lease(now_ms, &service)?;
-            let pending = leases.pending_promotion(&service);
-            Some((service, valid_until_ms, token, pending))
+            let leadership = leases.leadership(&service);
+            Some((service, valid_until_ms, token, leadership))
         })
         .collect();
     drop(leases);
@@ -187,7 +213,7 @@
         }
         is_held || service.is_handing_over()
     });
-    for (name, valid_until_ms, token, pending) in held {
+    for (name, valid_until_ms, token, leadership) in held {
         if let Some(service) = services.get(&name) {
             service.extend_lease(valid_until_ms);
             continue;
@@ -202,7 +228,7 @@
             node: node.clone(),
         };
         log::info!(event = "ownership_started", service = &*name, token = token; "");
-        let service = OwnedService::start(name.clone(), context, token, valid_until_ms, pending);
+        let service = OwnedService::start(name.clone(), context, token, valid_until_ms, leadership);
         services.insert(name, service);
         let node = node.clone();
         node.tasks.clone().spawn(async move { metadata_sync::refresh_members(&node).await });
@@ -460,30 +486,28 @@
         Node::admit_operation(self, tenant).await
     }
 
-    async fn record_promotion(&self, service: &Name, member: Option<Name>) -> bool {
-        let write = lock(&self.lease_table).set_pending_promotion(now_ms(), service, member);
-        let Some(write) = write else { return false };
-        let key = format!("{LEASE_PREFIX}{}", write.service);
-        let Ok(value) = serde_json::to_vec(&write.record) else { return false };
-        let partition = lease_partition(service);
-        match self.dependencies.store.write_record(&partition, &key, &value, write.expected).await {
-            Ok(WriteOutcome::Written(version)) => {
-                apply_lease(self, now_ms(), service, write.record, version);
-                true
-            }
-            Ok(WriteOutcome::Conflict(_)) => {
-                self.refresh.notify_one();
-                false
-            }
-            Err(error) => {
-                log::info!(
-                    event = "promotion_record_failed", service = &**service,
-                    error = error.to_string();
-                    "the change of the pending promotion is not known to be in the lease record"
-                );
-                false
+    async fn record_leadership(&self, service: &Name, leadership: Leadership) -> bool {
+        let former = lock(&self.lease_table).leadership(service);
+        for _ in 0..RECORD_ATTEMPTS {
+            let write =
+                lock(&self.lease_table).set_leadership(now_ms(), service, leadership.clone());
+            let Some(write) = write else { return false };
+            let key = format!("{LEASE_PREFIX}{service}");
+            let Ok(value) = serde_json::to_vec(&write.record) else { return false };
+            let partition = lease_partition(service);
+            let store = &self.dependencies.store;
+            let outcome = store.write_record(&partition, &key, &value, write.expected).await;
+            match apply_write_outcome(self, write, outcome) {
+                LeaseWriteResult::Written => return true,
+                // A renewal was on its way.
+                LeaseWriteResult::Conflict => {}
+                LeaseWriteResult::Failed => break,
             }
         }
+        let mut leases = lock(&self.lease_table);
+        leases.restore_leadership(service, former);
+        leases.schedule_retry(now_ms(), service);
+        false
     }
 
     async fn find_node_reaching(&self, service: &Name, member: SocketAddr) -> Option<Name> {
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -8,6 +8,7 @@
 mod idle_transactions;
 mod monitor;
 mod probe;
+mod promotion;
 mod runner;
 mod transactions;
 
@@ -42,6 +43,8 @@
 use crate::service::pool::SlotRequest;
 pub(crate) use crate::service::probe::SYSTEM_TENANT;
 use crate::service::transaction_table::TransactionTable;
+use crate::succession::Leadership;
+use crate::succession::Succession;
 use crate::sync::lock;
 use crate::tenant_rates::TenantRates;
 use crate::tenant_rates::TokenGrant;
@@ -86,9 +89,9 @@
     /// Returns the time until the next operation is allowed, in milliseconds.
     async fn admit_operation(&self, tenant: &Name) -> Result<(), u64>;
 
-    /// Stores which member is being promoted; `None` clears it. Returns whether the store accepted
-    /// the write.
-    async fn record_promotion(&self, service: &Name, member: Option<Name>) -> bool;
+    /// Stores in the lease what the next owner must know about the primary of a service. Returns
+    /// whether the store has it. If not, a later owner may find it or the former one.
+    async fn record_leadership(&self, service: &Name, leadership: Leadership) -> bool;
 
     /// Asks other nodes whether they can connect to a member. Returns one that can.
     async fn find_node_reaching(
@@ -132,6 +135,7 @@
     pool: Mutex<Pool<PooledConnection>>,
     grant_senders: Mutex<HashMap<u64, oneshot::Sender<AcquiredSlot>>>,
     state: Mutex<ServiceState>,
+    succession: Mutex<Succession>,
     idle_transactions: Mutex<TransactionTable<MemberTransaction>>,
     running_transactions: AtomicU64,
     monitor_wakeup: Notify,
@@ -152,7 +156,7 @@
         context: ServiceContext,
         fencing_token: u64,
         valid_until_ms: u64,
-        pending_promotion: Option<Name>,
+        leadership: Leadership,
     ) -> Arc<Self> {
         let service = Arc::new(Self {
             name,
@@ -168,6 +172,7 @@
             context,
             grant_senders: Mutex::default(),
             state: Mutex::default(),
+            succession: Mutex::new(Succession::new(leadership)),
             idle_transactions: Mutex::new(TransactionTable::new(fencing_token)),
             running_transactions: AtomicU64::new(0),
             monitor_wakeup: Notify::new(),
@@ -175,7 +180,7 @@
             tasks: TaskTracker::new(),
         });
         service.tasks.spawn(service.clone().discover());
-        service.tasks.spawn(service.clone().monitor(pending_promotion));
+        service.tasks.spawn(service.clone().monitor());
         service.tasks.spawn(service.clone().drop_abandoned_transactions());
         service
     }
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -110,6 +110,8 @@
     pub failing_since_ms: Option<u64>,
     /// Whether the connection of the last probe was refused or closed, or reached another process.
     pub is_refused: bool,
+    /// Whether the last order to promote it was refused or had no effect.
+    pub is_unpromotable: bool,
     /// Number of running statements.
     pub in_flight: usize,
     /// Time since which statements have been running without any of them ending.
@@ -197,6 +199,7 @@
                     answered_at_ms: 0,
                     failing_since_ms: None,
                     is_refused: false,
+                    is_unpromotable: false,
                     in_flight: 0,
                     busy_since_ms: 0,
                     down: CancellationToken::new(),
@@ -240,6 +243,9 @@
         if self.primary != primary {
             self.primary_since_ms = now_ms;
             self.revoke_write_permits();
+            if primary.is_some() {
+                self.members.values_mut().for_each(|member| member.is_unpromotable = false);
+            }
         }
         self.primary = primary;
     }
@@ -502,6 +508,14 @@
         true
     }
 
+    /// Records that an order to promote a member was refused or had no effect, and forgets that of
+    /// all others.
+    pub fn mark_unpromotable(&mut self, key: &MemberKey) {
+        for (member_key, member) in &mut self.members {
+            member.is_unpromotable = member_key == key;
+        }
+    }
+
     /// Records a failed probe and interrupts the exchanges that may be abandoned. Returns the
     /// connections to close.
     pub fn record_probe_failure(
--- /dev/null
+++ b/core/src/service/promotion.rs
@@ -0,0 +1,386 @@
+//! Changes of the primary of an owned service: adoption, replacement, planned moves and promotions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::now_ms;
+use crate::commit_history::CommitHistory;
+use crate::member::MemberCommand;
+use crate::member::MemberEntry;
+use crate::member::MemberKey;
+use crate::member::PromotionError;
+use crate::service::OwnedService;
+use crate::service::monitor::MONITOR_INTERVAL;
+use crate::service::monitor::URGENT_INTERVAL;
+use crate::service::probe::ProbeConnections;
+use crate::service::probe::SYSTEM_TENANT;
+use crate::succession::Leadership;
+use crate::sync::lock;
+
+/// Longest wait for running statements and open transactions of a primary before a planned move, in
+/// milliseconds. New work at the primary has to wait meanwhile.
+const DRAIN_LIMIT_MS: u64 = 400;
+
+/// Longest wait for a successor to catch up before a planned move, in milliseconds.
+const CATCH_UP_LIMIT_MS: u64 = 1_000;
+
+/// Longest wait for a promoted member to become primary, in milliseconds. After it a new decision
+/// is made, which repeats the promotion if it is still due.
+const PROMOTION_LIMIT_MS: u64 = 2_500;
+
+/// Pause after the store did not record a change of primary.
+const RECORD_RETRY: Duration = Duration::from_millis(200);
+
+/// Pause after an order to promote a member that was not carried out.
+const ORDER_RETRY: Duration = Duration::from_millis(200);
+
+/// Result of an order to promote a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PromotionResult {
+    /// The member is primary.
+    Promoted,
+    /// The order was not carried out, or has had no effect.
+    NotDone,
+    /// The order may still take effect.
+    Unknown,
+}
+
+impl OwnedService {
+    /// Starts to use a member that reports that it is primary. Its term is recorded before it serves,
+    /// so that no later owner uses the primary of an earlier term. Returns false if it could not be.
+    pub(super) async fn adopt_primary(self: &Arc<Self>, leader: &MemberKey) -> bool {
+        let Some(status) = self.status_of(leader) else { return false };
+        self.use_primary(None);
+        if lock(&self.succession).must_record(status.term)
+            && !self.record_served(leader, status.term).await
+        {
+            tokio::time::sleep(RECORD_RETRY).await;
+            return false;
+        }
+        {
+            let mut state = lock(&self.state);
+            let is_same_term = state.history.as_ref().is_some_and(|history| {
+                history.term() == status.term && history.newest() <= status.position
+            });
+            if !is_same_term {
+                state.history = Some(CommitHistory::new(status.term, status.position));
+            }
+        }
+        lock(&self.succession).set_served_term(status.term);
+        self.use_primary(Some(leader));
+        lock(&self.pool).set_primary_paused(false);
+        log::info!(
+            event = "primary_adopted", service = &*self.name, member = &*leader.id,
+            term = status.term, position = status.position.to_string(),
+            token = self.fencing_token; ""
+        );
+        self.dispatch();
+        true
+    }
+
+    /// Returns what the lease records about the primary.
+    fn leadership(&self) -> Leadership {
+        lock(&self.succession).recorded().clone()
+    }
+
+    /// Records that a member serves as primary of a term and that no promotion is pending. Returns
+    /// whether that is stored.
+    async fn record_served(&self, primary: &MemberKey, term: u64) -> bool {
+        let primary = Some(primary.id.clone());
+        let leadership = Leadership { term, primary, pending_promotion: None };
+        self.leadership() == leadership || self.record_leadership(leadership).await
+    }
+
+    /// Records the primary in use, if the record differs.
+    pub(super) async fn record_primary_in_use(&self) {
+        let served_term = lock(&self.state).history.as_ref().map(CommitHistory::term);
+        let primary = lock(&self.pool).primary().cloned();
+        if let (Some(term), Some(primary)) = (served_term, primary) {
+            self.record_served(&primary, term).await;
+        }
+    }
+
+    /// Records what the next owner must know about the primary. Returns whether it is stored.
+    async fn record_leadership(&self, leadership: Leadership) -> bool {
+        let is_recorded = self.context.node.record_leadership(&self.name, leadership.clone()).await;
+        if is_recorded {
+            lock(&self.succession).set_recorded(leadership);
+        }
+        is_recorded
+    }
+
+    /// Replaces a primary that does not answer, or that was recorded by a former owner and is not
+    /// found. If another node can still reach it, the service is handed over to that node instead.
+    pub(super) async fn replace_primary(
+        self: &Arc<Self>,
+        probe_connections: &mut ProbeConnections,
+        primary: Option<&MemberKey>,
+        successor: MemberKey,
+    ) {
+        if let Some(entry) = self.unreachable_primary(primary) {
+            let found = self.context.node.find_node_reaching(&self.name, entry.address).await;
+            if let Some(node) = found {
+                self.context.node.request_handover(
+                    &self.name,
+                    Some(node),
+                    "that node can reach the primary",
+                );
+                tokio::time::sleep(MONITOR_INTERVAL).await;
+                return;
+            }
+        }
+        if !self.has_valid_lease() {
+            return;
+        }
+        self.use_primary(None);
+        self.promote(probe_connections, primary, &successor).await;
+    }
+
+    /// Returns the primary in use, or else the recorded one, if this node does not reach it.
+    fn unreachable_primary(&self, primary: Option<&MemberKey>) -> Option<MemberEntry> {
+        let recorded = self.leadership().primary;
+        let pool = lock(&self.pool);
+        let mut members = pool.members().iter();
+        let (_, member) = match primary {
+            Some(primary) => members.find(|(key, _)| *key == primary),
+            None => members.find(|(key, _)| Some(&key.id) == recorded.as_ref()),
+        }?;
+        let is_unreachable = member.failing_since_ms.is_some() || member.status.is_none();
+        is_unreachable.then(|| (*member.entry).clone())
+    }
+
+    /// Changes the primary in use. Transactions that wrote at the former one are rolled back.
+    pub(super) fn use_primary(self: &Arc<Self>, primary: Option<&MemberKey>) {
+        lock(&self.pool).set_primary(now_ms(), primary.cloned());
+        self.roll_back_revoked();
+    }
+
+    /// Moves the role of primary away from a member that must leave: pauses new work there, waits
+    /// for running work to end, rolls back the transactions that are still open, waits for the
+    /// successor to catch up, and promotes it.
+    pub(super) async fn move_primary(
+        self: &Arc<Self>,
+        probe_connections: &mut ProbeConnections,
+        primary: Option<&MemberKey>,
+        successor: MemberKey,
+    ) {
+        log::info!(
+            event = "primary_move_started", service = &*self.name, to = &*successor.id,
+            from = primary.map_or("-", |primary| &*primary.id); ""
+        );
+        // A successor that is far behind is found out before any work has to wait for it.
+        if !self.wait_for_catch_up(probe_connections, &successor).await {
+            return;
+        }
+        lock(&self.pool).set_primary_paused(true);
+        let drain_until_ms = now_ms() + DRAIN_LIMIT_MS;
+        while now_ms() < drain_until_ms && self.has_work_at(primary) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        lock(&self.pool).revoke_write_permits();
+        self.roll_back_revoked();
+        if self.wait_for_catch_up(probe_connections, &successor).await {
+            self.use_primary(None);
+            self.promote(probe_connections, primary, &successor).await;
+        }
+        lock(&self.pool).set_primary_paused(false);
+        self.dispatch();
+    }
+
+    /// Waits until a successor's log includes every commit that is acknowledged now. Returns false
+    /// if it does not in time, or if the successor is no longer listed.
+    async fn wait_for_catch_up(
+        &self,
+        probe_connections: &mut ProbeConnections,
+        successor: &MemberKey,
+    ) -> bool {
+        let newest = lock(&self.state).history.as_ref().map(CommitHistory::newest);
+        let catch_up_until_ms = now_ms() + CATCH_UP_LIMIT_MS;
+        loop {
+            let Some(entry) = self.entry_of(successor) else { return false };
+            self.probe(probe_connections, vec![entry]).await;
+            let position = self.status_of(successor).map(|status| status.position);
+            if position >= newest {
+                return true;
+            }
+            if now_ms() >= catch_up_until_ms || !self.has_valid_lease() {
+                log::info!(
+                    event = "primary_move_postponed", service = &*self.name, to = &*successor.id,
+                    position = format!("{position:?}"), needed = format!("{newest:?}"); ""
+                );
+                return false;
+            }
+            tokio::time::sleep(URGENT_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether statements are running, or transactions that may write are open, at the
+    /// primary.
+    fn has_work_at(&self, primary: Option<&MemberKey>) -> bool {
+        let Some(primary) = primary else { return false };
+        let in_flight =
+            lock(&self.pool).members().get(primary).map_or(0, |member| member.in_flight);
+        in_flight > 0 || self.idle_writers(primary) > 0
+    }
+
+    /// Records and orders a promotion and waits until the member is primary. Then it demotes the
+    /// former primary in the background.
+    async fn promote(
+        self: &Arc<Self>,
+        probe_connections: &mut ProbeConnections,
+        former: Option<&MemberKey>,
+        successor: &MemberKey,
+    ) {
+        // The successor may be a former primary that still reports that it is primary, so only a
+        // newer term shows that the promotion has taken effect.
+        let reported_term = self.newest_reported_term();
+        let (former_leadership, leadership) = {
+            let succession = lock(&self.succession);
+            let promotion = succession.promotion_of(&successor.id, reported_term);
+            (succession.recorded().clone(), promotion)
+        };
+        let term = leadership.term;
+        if !self.record_leadership(leadership).await {
+            log::warn!(
+                event = "promotion_not_recorded", service = &*self.name, member = &*successor.id,
+                term = term, token = self.fencing_token;
+                "the promotion is not ordered, since a later owner would not know of it"
+            );
+            tokio::time::sleep(RECORD_RETRY).await;
+            return;
+        }
+        if !self.has_valid_lease() {
+            return;
+        }
+        log::warn!(
+            event = "promotion_ordered", service = &*self.name, member = &*successor.id,
+            from = former.map_or("-", |former| &*former.id), term = term,
+            token = self.fencing_token; ""
+        );
+        match self.promote_and_wait(probe_connections, successor, term).await {
+            PromotionResult::Promoted => self.complete_promotion(former, successor).await,
+            PromotionResult::NotDone if former_leadership.pending_promotion.is_none() => {
+                self.record_leadership(former_leadership).await;
+            }
+            PromotionResult::NotDone | PromotionResult::Unknown => {}
+        }
+    }
+
+    /// Uses a member that was promoted, demotes the former primary in the background, and records
+    /// that no promotion is pending.
+    async fn complete_promotion(
+        self: &Arc<Self>,
+        former: Option<&MemberKey>,
+        successor: &MemberKey,
+    ) {
+        if !self.adopt_primary(successor).await {
+            return;
+        }
+        let term = self.status_of(successor).map(|status| status.term);
+        if let (Some(former), Some(term)) = (former.and_then(|key| self.entry_of(key)), term) {
+            self.tasks.spawn(self.clone().demote_former_primary(former, term));
+        }
+        self.record_primary_in_use().await;
+    }
+
+    fn newest_reported_term(&self) -> u64 {
+        let pool = lock(&self.pool);
+        let reported = pool.members().values().filter_map(|member| Some(member.status?.term));
+        reported.max().unwrap_or(0)
+    }
+
+    /// Orders a promotion and waits until the member reports that it is primary in `min_term` or a
+    /// newer term.
+    async fn promote_and_wait(
+        &self,
+        probe_connections: &mut ProbeConnections,
+        successor: &MemberKey,
+        min_term: u64,
+    ) -> PromotionResult {
+        let ordered =
+            self.context.promoter.promote(&self.name, &successor.id, self.fencing_token).await;
+        if let Err(error) = &ordered {
+            log::warn!(
+                event = "promotion_unconfirmed", service = &*self.name, member = &*successor.id,
+                error = error.to_string(); ""
+            );
+        }
+        if matches!(ordered, Err(PromotionError::NotDone(_))) {
+            lock(&self.pool).mark_unpromotable(successor);
+            tokio::time::sleep(ORDER_RETRY).await;
+            return PromotionResult::NotDone;
+        }
+        let deadline_at_ms = now_ms() + PROMOTION_LIMIT_MS;
+        while now_ms() < deadline_at_ms && self.has_valid_lease() {
+            let Some(entry) = self.entry_of(successor) else { break };
+            self.probe(probe_connections, vec![entry]).await;
+            let status = self.status_of(successor);
+            if status.is_some_and(|status| status.is_primary && status.term >= min_term) {
+                return PromotionResult::Promoted;
+            }
+            tokio::time::sleep(URGENT_INTERVAL).await;
+        }
+        // An accepted order takes effect in less time, if the member runs and does not lead already.
+        match ordered.is_ok() && self.has_valid_lease() {
+            true => {
+                lock(&self.pool).mark_unpromotable(successor);
+                PromotionResult::NotDone
+            }
+            false => PromotionResult::Unknown,
+        }
+    }
+
+    /// Completes a promotion that a former owner recorded, by ordering it once more while no primary
+    /// is in use and the member answers. Returns false if there is none to complete or another member
+    /// must be promoted in its place.
+    pub(super) async fn resume_promotion(
+        self: &Arc<Self>,
+        probe_connections: &mut ProbeConnections,
+    ) -> bool {
+        let leadership = self.leadership();
+        let Some(member) = leadership.pending_promotion else { return false };
+        if lock(&self.pool).primary().is_some() {
+            return false;
+        }
+        let key = {
+            let pool = lock(&self.pool);
+            if pool.members().is_empty() {
+                return true;
+            }
+            let mut answering = pool
+                .members()
+                .iter()
+                .filter(|(_, member)| member.failing_since_ms.is_none() && member.status.is_some());
+            answering.find(|(key, _)| key.id == member).map(|(key, _)| key.clone())
+        };
+        // Another member is promoted in its place, in the same or a newer term.
+        let Some(key) = key else { return false };
+        log::info!(
+            event = "promotion_resumed", service = &*self.name, member = &*member,
+            term = leadership.term; ""
+        );
+        // The promotion may have taken effect already, so the recorded term is accepted.
+        let result = self.promote_and_wait(probe_connections, &key, leadership.term).await;
+        if result == PromotionResult::Promoted {
+            self.complete_promotion(None, &key).await;
+        }
+        true
+    }
+
+    async fn demote_former_primary(self: Arc<Self>, former: MemberEntry, term: u64) {
+        let sending = async {
+            let mut connection = self.context.connector.connect(&former, SYSTEM_TENANT).await?;
+            connection.exchange(&[MemberCommand::StepDown { term }]).await
+        };
+        let sent = tokio::time::timeout(Duration::from_millis(500), sending).await;
+        let result = match sent {
+            Ok(Ok(_)) => "answered".to_owned(),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer in time".to_owned(),
+        };
+        log::info!(
+            event = "step_down_attempted", service = &*self.name, member = &*former.key.id,
+            term = term, result = result; ""
+        );
+    }
+}
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -406,8 +406,17 @@
                     "the statement ran, but its primary was being replaced",
                 ));
             }
-            if let Some(history) = lock(&self.state).history.as_mut() {
-                history.acknowledge(now_ms(), position);
+            let mut state = lock(&self.state);
+            match &mut state.history {
+                Some(history) if history.term() == position.term => {
+                    history.acknowledge(now_ms(), position);
+                }
+                _ => {
+                    return Err(Refusal::new(
+                        Failure::InDoubt,
+                        "the statement ran in a term that is not in use",
+                    ));
+                }
             }
         }
         Ok(Answer { rows: reply.rows.clone(), signature, position: reply.position })
--- a/core/tests/core/failovers.rs
+++ b/core/tests/core/failovers.rs
@@ -21,6 +21,7 @@
         failing_since_ms: None,
         is_refused: false,
         status: Some(MemberStatus { is_primary, term, position }),
+        is_unpromotable: false,
     }
 }
 
--- a/core/tests/core/leases.rs
+++ b/core/tests/core/leases.rs
@@ -156,6 +156,8 @@
         is_released: false,
         preferred_owner: None,
         pending_promotion: None,
+        term: 0,
+        primary: None,
         sent_at_store_ms: None,
     }
 }
@@ -226,20 +228,25 @@
 }
 
 #[test]
-fn a_new_holder_inherits_a_pending_promotion() {
+fn a_new_holder_inherits_what_is_recorded_about_the_primary() {
     let service: Name = "dispatch".into();
     let mut table = LeaseTable::new(identity(1));
     let mut left = record(0, 5);
     left.is_released = true;
     left.pending_promotion = Some("m2".into());
+    left.term = 4;
+    left.primary = Some("m1".into());
     table.observe(1_000, &service, Some(left), 12);
     let write = table
         .due_writes(1_000, std::slice::from_ref(&service), |_| Some(0))
         .pop()
         .expect("a write is due");
     assert_eq!(write.record.pending_promotion.as_deref(), Some("m2"));
+    assert_eq!((write.record.term, write.record.primary.as_deref()), (4, Some("m1")));
     table.observe(1_010, &service, Some(write.record), 13);
-    assert_eq!(table.pending_promotion(&service).as_deref(), Some("m2"));
+    let leadership = table.leadership(&service);
+    assert_eq!(leadership.pending_promotion.as_deref(), Some("m2"));
+    assert_eq!((leadership.term, leadership.primary.as_deref()), (4, Some("m1")));
 }
 
 #[test]
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -16,6 +16,7 @@
 mod stand_in;
 mod stand_in_store;
 mod store_clocks;
+mod successions;
 mod test_cluster;
 mod transaction_tables;
 mod write_permits;
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -393,6 +393,53 @@
     }
 }
 
+/// A new owner that reached only members of the older term adopted its primary, and reads lacked
+/// commits that had been acknowledged in the newer one.
+#[tokio::test]
+async fn a_new_owner_does_not_use_the_primary_of_an_older_term_than_one_that_was_served() {
+    let cluster = TestCluster::start(2).await;
+    cluster.wait_until_serving(1).await;
+    let owner = cluster.owner().expect("a host owns the service");
+    let other = 1 - owner;
+    cluster.group.cut(&format!("host-{owner}"), "m3");
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let mut session = cluster.open(owner, "bookings");
+    cluster.group.set_up("m1", false);
+    cluster.wait_until_serving(owner).await;
+    run(&mut session, "w1", "STORE a 1").await.expect("written in the second term");
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+    cluster.group.restart_as_stale_primary("m1");
+    cluster.group.cut(&format!("host-{other}"), "m2");
+    cluster.kill(owner).await;
+    let mut session = cluster.open(other, "bookings");
+    let started = Instant::now();
+    loop {
+        let ended = run(&mut session, "w2", "STORE a 2").await;
+        if let Ok(answer) = ended {
+            let term = answer.position.expect("the answer has a position").term;
+            assert!(term > 2, "written in term {term}");
+            break;
+        }
+        assert!(started.elapsed() < WAIT_LIMIT, "the write is not served: {ended:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// An order for a promotion that no later owner could know of was given while the store was away.
+#[tokio::test]
+async fn no_promotion_is_ordered_before_it_is_recorded() {
+    let cluster = TestCluster::start(1).await;
+    let mut session = cluster.open(0, "bookings");
+    cluster.store.is_down.store(true, Ordering::Release);
+    cluster.group.set_up("m1", false);
+    assert!(run(&mut session, "w1", "STORE a 1").await.is_err());
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(cluster.group.promotions(), []);
+    cluster.store.is_down.store(false, Ordering::Release);
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.promotions().len(), 1);
+}
+
 #[tokio::test]
 async fn a_draining_primary_is_replaced_and_steps_down() {
     let cluster = TestCluster::start(1).await;
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for members that inject faults on request.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -20,6 +21,7 @@
 use snipehead_core::member::MemberPromoter;
 use snipehead_core::member::MemberReply;
 use snipehead_core::member::MemberStatus;
+use snipehead_core::member::PromotionError;
 use snipehead_core::name::Name;
 use snipehead_core::outcome::BlockState;
 use snipehead_core::outcome::Failure;
@@ -53,6 +55,8 @@
 pub struct StandInGroup {
     members: Mutex<HashMap<SocketAddr, (MemberEntry, MemberState)>>,
     promotions: Mutex<Vec<(String, u64)>>,
+    /// Hosts and members that do not reach each other.
+    cuts: Mutex<HashSet<(String, SocketAddr)>>,
     connections: AtomicU64,
     /// Time until a promotion takes effect, in milliseconds.
     pub promotion_ms: AtomicU64,
@@ -91,6 +95,7 @@
         Arc::new(Self {
             members: Mutex::new((1..=3).map(member).collect()),
             promotions: Mutex::default(),
+            cuts: Mutex::default(),
             connections: AtomicU64::new(0),
             promotion_ms: AtomicU64::new(0),
             connect_ms: AtomicU64::new(0),
@@ -118,6 +123,20 @@
         self.with_member(id, |member| member.is_up = is_up);
     }
 
+    /// Cuts a host off from a member.
+    pub fn cut(&self, host: &str, id: &str) {
+        let entries = self.entries();
+        let entry = entries.iter().find(|entry| &*entry.key.id == id);
+        let address = entry.expect("a member has this name").address;
+        let mut cuts = self.cuts.lock().expect("the mutex is not poisoned");
+        cuts.insert((host.to_owned(), address));
+    }
+
+    fn is_cut(&self, host: &str, address: SocketAddr) -> bool {
+        let cuts = self.cuts.lock().expect("the mutex is not poisoned");
+        cuts.contains(&(host.to_owned(), address))
+    }
+
     /// Closes a member's connections, as a restart of the member does.
     pub fn restart(&self, id: &str) {
         self.with_member(id, |member| member.incarnation += 1);
@@ -183,8 +202,11 @@
     }
 }
 
-/// Opens connections to the members of a group.
-pub struct StandInConnector(pub Arc<StandInGroup>);
+/// Opens a host's connections to the members of a group.
+pub struct StandInConnector {
+    pub host: String,
+    pub group: Arc<StandInGroup>,
+}
 
 #[async_trait]
 impl MemberConnector for StandInConnector {
@@ -193,18 +215,22 @@
         member: &MemberEntry,
         _: &str,
     ) -> Result<Box<dyn MemberConnection>, MemberError> {
-        let connect_ms = self.0.connect_ms.load(Ordering::Acquire);
+        let connect_ms = self.group.connect_ms.load(Ordering::Acquire);
         if connect_ms > 0 {
             tokio::time::sleep(std::time::Duration::from_millis(connect_ms)).await;
         }
-        let members = self.0.members.lock().expect("the mutex is not poisoned");
+        if self.group.is_cut(&self.host, member.address) {
+            return Err(MemberError::Timeout);
+        }
+        let members = self.group.members.lock().expect("the mutex is not poisoned");
         let (_, state) = &members[&member.address];
         if !state.is_up {
             return Err(MemberError::Closed("refused".to_owned()));
         }
-        self.0.connections.fetch_add(1, Ordering::Relaxed);
+        self.group.connections.fetch_add(1, Ordering::Relaxed);
         let connection = StandInConnection {
-            group: self.0.clone(),
+            group: self.group.clone(),
+            host: self.host.clone(),
             address: member.address,
             block: BlockState::Idle,
             writes: 0,
@@ -216,6 +242,7 @@
 
 struct StandInConnection {
     group: Arc<StandInGroup>,
+    host: String,
     address: SocketAddr,
     block: BlockState,
     writes: u64,
@@ -352,6 +379,9 @@
             members[&self.address].1.latency_ms
         };
         tokio::time::sleep(Duration::from_millis(latency_ms)).await;
+        if self.group.is_cut(&self.host, self.address) {
+            return Err(MemberError::Timeout);
+        }
         commands.iter().map(|command| self.handle(command)).collect()
     }
 
@@ -376,7 +406,12 @@
 
 #[async_trait]
 impl MemberPromoter for StandInPromoter {
-    async fn promote(&self, _: &str, member: &str, fencing_token: u64) -> Result<(), String> {
+    async fn promote(
+        &self,
+        _: &str,
+        member: &str,
+        fencing_token: u64,
+    ) -> Result<(), PromotionError> {
         let promotions = &self.0.promotions;
         promotions
             .lock()
--- a/core/tests/core/test_cluster.rs
+++ b/core/tests/core/test_cluster.rs
@@ -126,7 +126,10 @@
         };
         let dependencies = NodeDependencies {
             store: self.store.clone(),
-            connector: Arc::new(StandInConnector(self.group.clone())),
+            connector: Arc::new(StandInConnector {
+                host: format!("host-{number}"),
+                group: self.group.clone(),
+            }),
             promoter: Arc::new(StandInPromoter(self.group.clone())),
         };
         let node = Node::new(settings, dependencies);
