Saturate the warm-up time of a member entry

Seen: in builds that check arithmetic, the task that follows the list of members ended with a panic when an entry had a warm-up time near the largest number; release builds wrapped around without harm. Change: the sum saturates. Evidence: daemon::the_list_of_members_is_followed_after_odd_entries failed before ("the new entry is not followed", panic at the addition in pool.rs) and passes; it also has a nested entry, a number too large and a port out of range, with a running daemon.

--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -187,7 +187,7 @@
         });
         for entry in entries {
             let must_leave = entry.is_draining || evacuated(&entry.zone);
-            let cold_until_ms = now_ms + entry.cold_ms;
+            let cold_until_ms = now_ms.saturating_add(entry.cold_ms);
             let entry = Arc::new(entry);
             let member = self.members.entry(entry.key.clone()).or_insert_with(|| {
                 let entry = entry.clone();
