--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -113,6 +113,7 @@
     pub(crate) tasks: TaskTracker,
     pub(crate) stop: CancellationToken,
     pub(crate) session_drain: CancellationToken,
+    pub(crate) transaction_drain: CancellationToken,
     is_stopping: AtomicBool,
     started_at_ms: u64,
 }
@@ -147,6 +148,7 @@
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
             session_drain: CancellationToken::new(),
+            transaction_drain: CancellationToken::new(),
             is_stopping: AtomicBool::new(false),
             started_at_ms: now_ms(),
         })
@@ -296,6 +298,17 @@
         &self.session_drain
     }
 
+    /// Returns a token that is cancelled when open transactions must be rolled back.
+    pub fn transaction_drain(&self) -> &CancellationToken {
+        &self.transaction_drain
+    }
+
+    /// Returns how long a caller may be silent after its transaction was rolled back at a stop, in
+    /// milliseconds: it can learn of it well before the grace period ends.
+    pub(crate) fn aborted_idle_ms(&self) -> u64 {
+        self.settings.grace_ms / 6
+    }
+
     pub(crate) fn set_stopping(&self) {
         self.is_stopping.store(true, Ordering::Release);
     }
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -455,8 +455,8 @@
         matches!(tokio::time::timeout(STORE_CHECK_TIMEOUT, reading).await, Ok(Ok(_)))
     }
 
-    /// Shuts down: hands all services over, waits until load balancers see the node as unready, and
-    /// asks sessions to close.
+    /// Shuts down: hands all services over, asks idle sessions to close once load balancers see the
+    /// node as unready, and has open transactions rolled back after half of the grace period.
     pub async fn shut_down(self: &Arc<Self>) {
         self.set_stopping();
         log::info!(event = "node_stopping", grace_ms = self.settings.grace_ms; "");
@@ -464,9 +464,15 @@
         let handovers =
             join_all(services.iter().map(|service| hand_over(self, service, None, "stopping")));
         // The load balancer has seen two readiness checks fail by then.
-        let unready_time = Duration::from_millis(self.settings.grace_ms * 2 / 5);
-        futures::join!(handovers, tokio::time::sleep(unready_time));
-        self.session_drain.cancel();
+        let unready_ms = self.settings.grace_ms * 2 / 5;
+        let drains = async {
+            tokio::time::sleep(Duration::from_millis(unready_ms)).await;
+            self.session_drain.cancel();
+            let half_ms = self.settings.grace_ms / 2;
+            tokio::time::sleep(Duration::from_millis(half_ms - unready_ms)).await;
+            self.transaction_drain.cancel();
+        };
+        futures::join!(handovers, drains);
     }
 
     /// Stops all services and tasks of the node at once.
--- a/core/src/session.rs
+++ b/core/src/session.rs
@@ -105,7 +105,7 @@
         match self.block {
             TransactionBlock::Idle => BlockState::Idle,
             TransactionBlock::Pending { .. } | TransactionBlock::Open(_) => BlockState::Open,
-            TransactionBlock::Failed => BlockState::Failed,
+            TransactionBlock::Aborted { .. } | TransactionBlock::Failed => BlockState::Failed,
         }
     }
 
@@ -116,7 +116,10 @@
             return None;
         }
         let known = self.node.configuration.known()?;
-        let limit_ms = known.configuration.transaction_idle_ms;
+        let limit_ms = match self.block {
+            TransactionBlock::Aborted { .. } => self.node.aborted_idle_ms(),
+            _ => known.configuration.transaction_idle_ms,
+        };
         (limit_ms > 0).then(|| Duration::from_millis(limit_ms))
     }
 
@@ -129,6 +132,15 @@
         }
     }
 
+    /// Rolls back the open transaction on the node's own account. The caller learns the reason from
+    /// the reply to its next statement.
+    pub fn abort(&mut self, reason: &'static str) {
+        if self.block_state() == BlockState::Open {
+            self.roll_back();
+            self.block = TransactionBlock::Aborted { reason };
+        }
+    }
+
     /// Runs a statement. Failures are counted and logged.
     pub async fn execute(&mut self, statement: &Statement) -> StatementResult {
         let started_at_ms = now_ms();
@@ -162,6 +174,12 @@
 
     async fn execute_kind(&mut self, statement: &Statement, started_at_ms: u64) -> StatementResult {
         let ends_block = matches!(statement.kind, StatementKind::Commit | StatementKind::Rollback);
+        if let TransactionBlock::Aborted { reason } = self.block {
+            self.block = TransactionBlock::Failed;
+            if !ends_block {
+                return Err(Refusal::new(Failure::Aborted, reason));
+            }
+        }
         if matches!(self.block, TransactionBlock::Failed) && !ends_block {
             return Err(Refusal::new(
                 Failure::Malformed,
@@ -303,7 +321,7 @@
                 )
                 .await
             }
-            TransactionBlock::Failed => {
+            TransactionBlock::Aborted { .. } | TransactionBlock::Failed => {
                 self.block = TransactionBlock::Failed;
                 Err(Refusal::new(Failure::Malformed, "the transaction has failed; roll it back"))
             }
@@ -465,7 +483,7 @@
             TransactionBlock::Idle => {
                 Err(Refusal::new(Failure::Malformed, "no transaction is open"))
             }
-            TransactionBlock::Failed => Err(Refusal::new(
+            TransactionBlock::Aborted { .. } | TransactionBlock::Failed => Err(Refusal::new(
                 Failure::Aborted,
                 "the transaction has failed and was rolled back",
             )),
--- a/core/src/session/transaction_block.rs
+++ b/core/src/session/transaction_block.rs
@@ -36,6 +36,11 @@
     },
     /// The transaction is open at a member.
     Open(RemoteTransaction),
+    /// The node rolled the transaction back while the caller was silent; the next reply says so.
+    Aborted {
+        /// Reason for the caller.
+        reason: &'static str,
+    },
     /// The transaction failed and was rolled back; the caller has not ended it yet.
     Failed,
 }
