--- a/core/src/failover.rs
+++ b/core/src/failover.rs
@@ -30,6 +30,10 @@
     pub is_refused: bool,
     /// Replication state that the member last reported.
     pub status: Option<MemberStatus>,
+    /// Newest log position that it has reported.
+    pub position: LogPosition,
+    /// Time at which it last reported a log position.
+    pub position_at_ms: u64,
     /// Whether the last order to promote it was refused or had no effect.
     pub is_unpromotable: bool,
 }
@@ -41,6 +45,9 @@
     Keep,
     /// Use this member as primary: it leads the newest term and is not the primary in use.
     Adopt(MemberKey),
+    /// Probe the members before a choice: some have not reported their log since the primary was last
+    /// known to lead, and may have received more, or a newer term, since.
+    Probe,
     /// Promote this member in place of a primary that this node does not reach, unless another
     /// node reaches that primary.
     Replace(MemberKey),
@@ -82,9 +89,11 @@
         if !leader.must_leave {
             return Decision::Keep;
         }
-        return successor(members, &leader.key).map_or(Decision::Keep, Decision::Move);
+        return successor(members, Some(&leader.key)).map_or(Decision::Keep, Decision::Move);
     }
     let suspect = known.and_then(|key| members.iter().find(|member| member.key == *key));
+    let failing_since_ms = suspect.and_then(|member| member.failing_since_ms);
+    let leaderless_since_ms = failing_since_ms.unwrap_or(without_primary_since_ms);
     let is_limit_reached = match suspect {
         Some(member) => match member.failing_since_ms {
             Some(since_ms) => {
@@ -102,21 +111,31 @@
         return Decision::Keep;
     }
     let current = suspect.map(|member| &member.key);
-    let no_member = MemberKey { id: "".into(), incarnation: 0 };
-    successor(members, current.unwrap_or(&no_member)).map_or(Decision::Keep, Decision::Replace)
+    let mut candidates = candidates(members, current);
+    if candidates.any(|member| member.position_at_ms < leaderless_since_ms) {
+        return Decision::Probe;
+    }
+    successor(members, current).map_or(Decision::Keep, Decision::Replace)
 }
 
-/// Returns the member with the newest log among those that answer and need not leave. One whose
-/// promotion had no effect is the last choice.
-fn successor(members: &[MemberView], except: &MemberKey) -> Option<MemberKey> {
-    let rank = |member: &&MemberView| {
-        let position = member.status.map_or(LogPosition::default(), |status| status.position);
-        (!member.is_unpromotable, position)
-    };
+/// Returns the members that answer and need not leave.
+fn candidates<'a>(
+    members: &'a [MemberView],
+    except: Option<&'a MemberKey>,
+) -> impl Iterator<Item = &'a MemberView> {
     members
         .iter()
-        .filter(|member| member.key != *except && !member.must_leave)
+        .filter(move |member| Some(&member.key) != except && !member.must_leave)
         .filter(|member| member.failing_since_ms.is_none() && member.status.is_some())
-        .max_by_key(rank)
-        .map(|member| member.key.clone())
+}
+
+/// Returns the candidate with the newest log: the one that follows the newest term, and of these the
+/// one with the newest position. One whose promotion had no effect is the last choice.
+fn successor(members: &[MemberView], except: Option<&MemberKey>) -> Option<MemberKey> {
+    let rank = |member: &&MemberView| {
+        let held_term = member.status.map_or(0, |status| status.term);
+        let term = held_term.max(member.position.term);
+        (!member.is_unpromotable, term, member.position)
+    };
+    candidates(members, except).max_by_key(rank).map(|member| member.key.clone())
 }
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -29,6 +29,10 @@
 /// longer than nearly all statements take.
 const PROBE_BUSY_MS: u64 = 400;
 
+/// Longest wait for a member that answers but does not report its log, as a busy one may, before a
+/// primary is chosen among the others, in milliseconds.
+const REPORT_LIMIT_MS: u64 = 1_000;
+
 /// Number of successive reads of the member list for which a member that is missing from it is
 /// kept: entries expire while the store is unreachable and come back within seconds.
 const MAX_MISSED_READS: u32 = 3;
@@ -96,6 +100,7 @@
     pub(super) async fn monitor(self: Arc<Self>) {
         let mut probe_connections = ProbeConnections::default();
         let mut without_primary_since_ms = now_ms();
+        let mut probing_since_ms = None;
         loop {
             let has_primary = lock(&self.pool).primary().is_some();
             tokio::select! {
@@ -117,7 +122,7 @@
             if self.resume_promotion(&mut probe_connections).await {
                 continue;
             }
-            let (primary, views) = self.member_views();
+            let (primary, mut views) = self.member_views();
             if primary.is_some() {
                 without_primary_since_ms = now_ms();
             }
@@ -128,7 +133,21 @@
                 self.adopt_primary(primary).await;
                 continue;
             }
-            match decide(now_ms(), primary.as_ref(), without_primary_since_ms, min_term, &views) {
+            let choose = |views: &[MemberView]| {
+                let known = primary.as_ref();
+                decide(now_ms(), known, without_primary_since_ms, min_term, views)
+            };
+            let mut decision = choose(&views);
+            probing_since_ms =
+                (decision == Decision::Probe).then(|| probing_since_ms.unwrap_or_else(now_ms));
+            if let Some(probing_since_ms) = probing_since_ms {
+                self.probe_all(&mut probe_connections).await;
+                views = self.views_reported_since(probing_since_ms);
+                decision = choose(&views);
+            }
+            match decision {
+                // A busy member may not have reported its log; the next check asks it again.
+                Decision::Probe => {}
                 Decision::Keep => self.drop_demoted_primary(primary.as_ref(), &views),
                 Decision::Adopt(leader) => {
                     if self.adopt_primary(&leader).await {
@@ -176,6 +195,27 @@
         due.map(|member| (*member.entry).clone()).collect()
     }
 
+    /// Returns the members after another probe. Those that have not reported their log since
+    /// `probing_since_ms` are left out once that has taken too long, except for the primary in use.
+    fn views_reported_since(&self, probing_since_ms: u64) -> Vec<MemberView> {
+        let (primary, mut views) = self.member_views();
+        if now_ms() >= probing_since_ms + REPORT_LIMIT_MS {
+            views.retain(|view| {
+                view.position_at_ms >= probing_since_ms || Some(&view.key) == primary.as_ref()
+            });
+        }
+        views
+    }
+
+    /// Probes all members.
+    async fn probe_all(&self, probe_connections: &mut ProbeConnections) {
+        let entries: Vec<MemberEntry> = {
+            let pool = lock(&self.pool);
+            pool.members().values().map(|member| (*member.entry).clone()).collect()
+        };
+        self.probe(probe_connections, entries).await;
+    }
+
     fn member_views(&self) -> (Option<MemberKey>, Vec<MemberView>) {
         let pool = lock(&self.pool);
         let views = pool.members().iter().map(|(key, member)| MemberView {
@@ -184,6 +224,8 @@
             failing_since_ms: member.failing_since_ms,
             is_refused: member.is_refused,
             status: member.status,
+            position: member.position,
+            position_at_ms: member.position_at_ms,
             is_unpromotable: member.is_unpromotable,
         });
         (pool.primary().cloned(), views.collect())
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -104,6 +104,8 @@
     pub status: Option<MemberStatus>,
     /// Log position that it last reported to a probe, or a newer one from a reply since then.
     pub position: LogPosition,
+    /// Time at which it last reported a log position.
+    pub position_at_ms: u64,
     /// Time of its last reply of any kind.
     pub answered_at_ms: u64,
     /// Time since which it has been suspected of having failed.
@@ -196,6 +198,7 @@
                     must_leave,
                     status: None,
                     position: LogPosition::default(),
+                    position_at_ms: 0,
                     answered_at_ms: 0,
                     failing_since_ms: None,
                     is_refused: false,
@@ -486,7 +489,10 @@
     pub fn record_reply(&mut self, now_ms: u64, key: &MemberKey, position: Option<LogPosition>) {
         if let Some(member) = self.members.get_mut(key) {
             member.answered_at_ms = now_ms;
-            member.position = position.unwrap_or(member.position).max(member.position);
+            if let Some(position) = position {
+                member.position = position.max(member.position);
+                member.position_at_ms = now_ms;
+            }
         }
     }
 
@@ -545,6 +551,7 @@
         if let Some(status) = status {
             member.status = Some(status);
             member.position = status.position;
+            member.position_at_ms = now_ms;
         }
     }
 }
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -393,6 +393,19 @@
     }
 }
 
+/// A replica that had stopped receiving was promoted by a status from before, and commits that another
+/// replica had were lost.
+#[tokio::test]
+async fn a_replica_that_lags_is_not_promoted_by_an_old_report() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.stall_replication("m3");
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    cluster.group.set_up("m1", false);
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+}
+
 /// A new owner that reached only members of the older term adopted its primary, and reads lacked
 /// commits that had been acknowledged in the newer one.
 #[tokio::test]
--- a/core/tests/core/successions.rs
+++ b/core/tests/core/successions.rs
@@ -130,6 +130,8 @@
             failing_since_ms: (!self.reached[member]).then_some(0),
             is_refused: false,
             status: Some(self.members[member]).filter(|_| self.reached[member]),
+            position: self.members[member].position,
+            position_at_ms: LATE_MS,
             is_unpromotable: self.unpromotable == Some(member),
         };
         (0..MEMBERS).map(view).collect()
@@ -164,7 +166,7 @@
                     self.orders.push(index(&successor));
                 }
             }
-            Decision::Keep | Decision::Move(_) => {}
+            Decision::Probe | Decision::Keep | Decision::Move(_) => {}
         }
     }
 
