--- a/core/src/metadata_server.rs
+++ b/core/src/metadata_server.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::now_ms;
+use crate::member_directory::MEMBERS_AGE_LIMIT_MS;
 use crate::name::Name;
 use crate::node::Node;
 use crate::relay::MetadataRequest;
@@ -58,11 +59,11 @@
     fn update_for(&self, request: &MetadataRequest) -> Option<MetadataUpdate> {
         let now_ms = now_ms();
         let known = self.configuration.known()?;
-        let members = self.members.entries();
-        let new_members = match (request.members, members) {
-            (Some(theirs), Some(entries)) if theirs != self.members.digest() => {
-                Some(entries.to_vec())
-            }
+        // A node that owns no service any more does not follow the list.
+        let members_age_ms =
+            self.members.age_ms(now_ms).filter(|age_ms| *age_ms <= MEMBERS_AGE_LIMIT_MS);
+        let new_members = match (request.members, members_age_ms) {
+            (Some(theirs), Some(_)) if theirs != self.members.digest() => self.members.entries(),
             _ => None,
         };
         let nodes = lock(&self.nodes);
@@ -83,7 +84,8 @@
                 .then(|| (*known.configuration).clone()),
             owners: (request.owners != self.owner_directory.digest()).then_some(owners),
             candidates,
-            members: new_members,
+            members: new_members.map(|entries| entries.to_vec()),
+            members_age_ms: members_age_ms.filter(|_| request.members.is_some()),
             store_clock: leases.store_clock(now_ms),
             leases: leases.observed_leases(now_ms, &needed),
         })
--- a/core/src/metadata_sync.rs
+++ b/core/src/metadata_sync.rs
@@ -17,6 +17,7 @@
 use crate::lease_records::configured_services;
 use crate::lease_records::lease_partition;
 use crate::lease_table::LeaseRecord;
+use crate::member_directory::MEMBERS_AGE_LIMIT_MS;
 use crate::metadata_source::MetadataSource;
 use crate::metadata_source::MetadataTopology;
 use crate::metadata_source::SyncOutcome;
@@ -239,6 +240,7 @@
 /// Synchronizes with another node.
 async fn sync_from_node(node: &Node, address: SocketAddr, wants_all: bool) -> SyncOutcome {
     let known = node.configuration.known();
+    let members_digest = node.members.digest();
     let owns_some = !lock(&node.services).is_empty();
     let (sender, candidates) = {
         let nodes = lock(&node.nodes);
@@ -251,7 +253,7 @@
         configuration,
         owners,
         candidates,
-        members: owns_some.then(|| node.members.digest()),
+        members: owns_some.then_some(members_digest),
         leases: followed_services(node),
     };
     let version = known.map_or(0, |known| known.configuration.version);
@@ -259,7 +261,11 @@
     let sent_at_ms = now_ms();
     match node.peers.fetch_metadata(address, request).await {
         Ok(Some(update)) if update.confirmation_age_ms <= limit_ms => {
-            apply_update(node, update, version, sent_at_ms, owns_some);
+            apply_update(node, update, version, members_digest, sent_at_ms);
+            let is_old = |age_ms: u64| age_ms > MEMBERS_AGE_LIMIT_MS;
+            if owns_some && node.members.age_ms(now_ms()).is_none_or(is_old) {
+                refresh_members(node).await;
+            }
             SyncOutcome::Recent
         }
         Ok(update) => {
@@ -285,13 +291,13 @@
 }
 
 /// Applies the answer to a request that was sent at `sent_at_ms`, when this node had `version` of
-/// the configuration.
+/// the configuration and the list of members with `members_digest`.
 fn apply_update(
     node: &Node,
     update: MetadataUpdate,
     version: u64,
+    members_digest: u64,
     sent_at_ms: u64,
-    wants_members: bool,
 ) {
     let answered_at_ms = now_ms();
     let confirmed_at_ms = sent_at_ms.saturating_sub(update.confirmation_age_ms);
@@ -308,10 +314,12 @@
     for (service, owner) in update.owners.unwrap_or_default() {
         apply_owner(node, &service, owner);
     }
-    match update.members {
-        Some(members) => node.members.update(members),
-        None if wants_members => node.members.confirm(),
-        None => {}
+    if let Some(age_ms) = update.members_age_ms {
+        let read_at_ms = sent_at_ms.saturating_sub(age_ms);
+        match update.members {
+            Some(members) => node.members.update(members, read_at_ms),
+            None => node.members.confirm(members_digest, read_at_ms),
+        }
     }
     for lease in update.leases {
         let observed_at_ms = answered_at_ms.saturating_sub(lease.unchanged_for_ms);
@@ -376,9 +384,8 @@
     let sent_at_ms = now_ms();
     let owns_some = !lock(&node.services).is_empty();
     let reading_members = async {
-        match owns_some {
-            true => store.read_members().await.map(Some),
-            false => Ok(None),
+        if owns_some {
+            refresh_members(node).await;
         }
     };
     let configuration = store.read_configuration().await;
@@ -392,10 +399,7 @@
             node.notify_synced();
         }
     }
-    let (records, members) = futures::join!(read_changed_records(node), reading_members);
-    if let Ok(Some(members)) = members {
-        node.members.update(members);
-    }
+    let (records, ()) = futures::join!(read_changed_records(node), reading_members);
     apply_records(node, &records?, sent_at_ms);
     configuration.map(drop)
 }
@@ -418,16 +422,16 @@
     Ok(records)
 }
 
-/// Reads the list of members at once, for a service that this node has just acquired.
+/// Reads the list of members from the store.
 pub(crate) async fn refresh_members(node: &Node) {
+    let sent_at_ms = now_ms();
     match node.dependencies.store.read_members().await {
-        Ok(members) => node.members.update(members),
+        Ok(members) => node.members.update(members, sent_at_ms),
         Err(error) => {
             log::info!(
                 event = "member_list_read_failed", error = error.to_string();
                 "the list of members is read again in the next round of synchronization"
             );
-            node.refresh.notify_one();
         }
     }
 }
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -208,8 +208,11 @@
     pub owners: Option<Vec<(Name, Owner)>>,
     /// The candidates for ownership, if they differ or were requested.
     pub candidates: Option<Vec<HeardNode>>,
-    /// The list of members, if it differs.
+    /// The list of members, if it differs and is recent.
     pub members: Option<Vec<MemberEntry>>,
+    /// Time since the store had that list, or the one that the requesting node has, in milliseconds;
+    /// `None` if the node knows none or was not asked.
+    pub members_age_ms: Option<u64>,
     /// Bounds of the store's clock.
     pub store_clock: Option<ClockBounds>,
     /// The requested leases.
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -5,6 +5,7 @@
 mod connection_counts;
 mod failovers;
 mod leases;
+mod member_lists;
 mod metadata_sources;
 mod nodes;
 mod placements;
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -18,6 +18,7 @@
 use snipehead_core::node_record::NodeRecord;
 use snipehead_core::outcome::BlockState;
 use snipehead_core::outcome::Failure;
+use snipehead_core::ownership;
 use snipehead_core::relay::MetadataRequest;
 
 #[rstest]
@@ -104,6 +105,44 @@
     assert!(update.confirmation_age_ms > 1_300);
 }
 
+/// A node that had once owned a service passed its old list of members on, and owners used members
+/// again that had left.
+#[tokio::test]
+async fn a_former_owner_does_not_pass_an_old_list_of_members_on() {
+    let cluster = TestCluster::start(2).await;
+    cluster.wait_until_serving(1).await;
+    let former = cluster.owner().expect("a host owns the service");
+    let node = cluster.hosts[former].node.clone();
+    let started = Instant::now();
+    while cluster.owner() != Some(1 - former) {
+        assert!(started.elapsed() < WAIT_LIMIT, "the service is not handed over");
+        let new_owner = Some(format!("host-{}", 1 - former).into());
+        ownership::hand_over(&node, &"dispatch".into(), new_owner, "test").await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let mut entries = cluster.group.entries();
+    entries.pop();
+    cluster.store.set_members(entries);
+    tokio::time::sleep(Duration::from_millis(4_000)).await;
+    let (configuration, owners) = node.metadata_digests();
+    let request = MetadataRequest {
+        sender: NodeRecord {
+            name: "host-9".into(),
+            address: "127.0.0.1:9".parse().expect("valid"),
+            zone: "almaty-a".into(),
+            capacity: 250,
+        },
+        confirmation_age_ms: None,
+        configuration,
+        owners,
+        candidates: None,
+        members: Some(0),
+        leases: Vec::new(),
+    };
+    let update = node.metadata_for(request).await.expect("the node has metadata");
+    assert_eq!(update.members, None);
+}
+
 /// A node that owned three of eight services kept answering late, because nothing moved them to
 /// other nodes.
 #[tokio::test]
@@ -393,6 +432,34 @@
     }
 }
 
+/// An order without an answer was forgotten: the old primary came back, was used again, and took
+/// writes when the order took effect, all of which were lost.
+#[tokio::test]
+async fn a_primary_is_not_used_again_while_an_order_to_replace_it_may_take_effect() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.are_orders_unanswered.store(true, Ordering::Release);
+    cluster.group.promotion_ms.store(4_500, Ordering::Release);
+    let mut session = cluster.open(0, "bookings");
+    cluster.group.set_up("m1", false);
+    assert!(run(&mut session, "w0", "STORE a 0").await.is_err());
+    let started = Instant::now();
+    while cluster.group.promotions().is_empty() {
+        assert!(started.elapsed() < WAIT_LIMIT, "no promotion is ordered");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    cluster.group.restart_as_stale_primary("m1");
+    for number in 1.. {
+        let ended = run(&mut session, &format!("w{number}"), "STORE a 1").await;
+        if let Ok(answer) = ended {
+            let term = answer.position.expect("the answer has a position").term;
+            assert!(term > 1, "written in term {term} while the order is pending");
+            break;
+        }
+        assert!(started.elapsed() < WAIT_LIMIT, "no write is served: {ended:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// A replica that had stopped receiving was promoted by a status from before, and commits that another
 /// replica had were lost.
 #[tokio::test]
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -60,6 +61,8 @@
     connections: AtomicU64,
     /// Time until a promotion takes effect, in milliseconds.
     pub promotion_ms: AtomicU64,
+    /// Whether orders to promote a member get no answer.
+    pub are_orders_unanswered: AtomicBool,
     /// Time that a new connection takes, in milliseconds.
     pub connect_ms: AtomicU64,
 }
@@ -98,6 +101,7 @@
             cuts: Mutex::default(),
             connections: AtomicU64::new(0),
             promotion_ms: AtomicU64::new(0),
+            are_orders_unanswered: AtomicBool::new(false),
             connect_ms: AtomicU64::new(0),
         })
     }
@@ -423,7 +427,10 @@
             tokio::time::sleep(delay).await;
             group.make_primary(&member);
         });
-        Ok(())
+        match self.0.are_orders_unanswered.load(Ordering::Acquire) {
+            true => Err(PromotionError::Unknown("no answer".to_owned())),
+            false => Ok(()),
+        }
     }
 }
 
