Bound what an unfinished change of primary holds up

Found by reading the changes of primary once more. Not seen by callers.

Cause: a planned move whose promotion the store would not record rolled the open transactions back in each attempt; a recorded promotion that was accepted and had no effect was ordered again for ever by the next owner, although another member could be promoted.

Change: a move first lets the store confirm the record; such a member is passed over when a promotion is resumed.

Evidence: nodes::a_move_that_cannot_be_recorded_leaves_transactions_alone, nodes::another_member_is_promoted_if_a_recorded_promotion_has_no_effect.

--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -168,8 +168,11 @@
             event = "primary_move_started", service = &*self.name, to = &*successor.id,
             from = primary.map_or("-", |primary| &*primary.id); ""
         );
-        // A successor that is far behind is found out before any work has to wait for it.
-        if !self.wait_for_catch_up(probe_connections, &successor).await {
+        // A successor that is far behind, or a store that would not record the promotion, is found out
+        // before any work has to wait and any transaction is rolled back.
+        if !self.wait_for_catch_up(probe_connections, &successor).await
+            || !self.record_leadership(self.leadership()).await
+        {
             return;
         }
         lock(&self.pool).set_primary_paused(true);
@@ -347,13 +350,13 @@
             if pool.members().is_empty() {
                 return true;
             }
-            let mut answering = pool
-                .members()
-                .iter()
-                .filter(|(_, member)| member.failing_since_ms.is_none() && member.status.is_some());
-            answering.find(|(key, _)| key.id == member).map(|(key, _)| key.clone())
+            let mut promotable = pool.members().iter().filter(|(_, member)| {
+                member.failing_since_ms.is_none()
+                    && member.status.is_some()
+                    && !member.is_unpromotable
+            });
+            promotable.find(|(key, _)| key.id == member).map(|(key, _)| key.clone())
         };
-        // Another member is promoted in its place, in the same or a newer term.
         let Some(key) = key else { return false };
         log::info!(
             event = "promotion_resumed", service = &*self.name, member = &*member,
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -460,6 +460,46 @@
     }
 }
 
+/// A move whose promotion could not be recorded rolled transactions back in each attempt.
+#[tokio::test]
+async fn a_move_that_cannot_be_recorded_leaves_transactions_alone() {
+    let cluster = TestCluster::start(1).await;
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "b1", "BEGIN").await.expect("begun");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    let mut entries = cluster.group.entries();
+    entries[0].is_draining = true;
+    cluster.store.set_members(entries);
+    cluster.store.are_writes_refused.store(true, Ordering::Release);
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    run(&mut session, "c1", "COMMIT").await.expect("committed");
+    assert_eq!(cluster.group.promotions(), []);
+}
+
+/// A promotion that was accepted and had no effect was ordered again for ever, although another member
+/// could be promoted.
+#[tokio::test]
+async fn another_member_is_promoted_if_a_recorded_promotion_has_no_effect() {
+    let cluster = TestCluster::start(2).await;
+    cluster.wait_until_serving(1).await;
+    let owner = cluster.owner().expect("a host owns the service");
+    cluster.group.set_unpromotable("m3");
+    cluster.group.are_orders_unanswered.store(true, Ordering::Release);
+    cluster.group.set_up("m1", false);
+    let mut session = cluster.open(owner, "bookings");
+    assert!(run(&mut session, "w1", "STORE a 1").await.is_err());
+    let started = Instant::now();
+    while cluster.group.promotions().is_empty() {
+        assert!(started.elapsed() < WAIT_LIMIT, "no promotion is ordered");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(cluster.group.promotions()[0].0, "m3");
+    cluster.kill(owner).await;
+    cluster.group.are_orders_unanswered.store(false, Ordering::Release);
+    cluster.wait_until_serving(1 - owner).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+}
+
 /// A replica that had stopped receiving was promoted by a status from before, and commits that another
 /// replica had were lost.
 #[tokio::test]
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -49,6 +49,8 @@
     stalled_at: Option<LogPosition>,
     executed: Vec<String>,
     latency_ms: u64,
+    /// Whether orders to promote it have no effect.
+    is_unpromotable: bool,
     faults: Vec<InjectedFault>,
 }
 
@@ -91,6 +93,7 @@
                 stalled_at: None,
                 executed: Vec::new(),
                 latency_ms: 1,
+                is_unpromotable: false,
                 faults: Vec::new(),
             };
             (address, (entry, state))
@@ -181,6 +184,10 @@
         });
     }
 
+    pub fn set_unpromotable(&self, id: &str) {
+        self.with_member(id, |member| member.is_unpromotable = true);
+    }
+
     /// Sets the time that a member takes for each exchange.
     pub fn set_latency(&self, id: &str, latency_ms: u64) {
         self.with_member(id, |member| member.latency_ms = latency_ms);
@@ -440,7 +447,7 @@
         let mut members = self.members.lock().expect("the mutex is not poisoned");
         let term = members.values().map(|(_, state)| state.term).max().unwrap_or(0) + 1;
         for (entry, state) in members.values_mut() {
-            if &*entry.key.id == member {
+            if &*entry.key.id == member && !state.is_unpromotable {
                 state.is_primary = true;
                 state.term = term;
             }
--- a/core/tests/core/stand_in_store.rs
+++ b/core/tests/core/stand_in_store.rs
@@ -34,6 +34,8 @@
     state: Mutex<StoreState>,
     /// Whether all calls fail.
     pub is_down: AtomicBool,
+    /// Whether all writes are refused.
+    pub are_writes_refused: AtomicBool,
     /// Number of reads of all records.
     pub whole_reads: AtomicU64,
     /// Number of reads of the configuration, answered or not.
@@ -112,6 +114,9 @@
         value: &[u8],
         expected: u64,
     ) -> Result<WriteOutcome, StoreError> {
+        if self.are_writes_refused.load(Ordering::Acquire) {
+            return Err(StoreError::NotDone("writes are refused".to_owned()));
+        }
         let mut state = self.state()?;
         let present = state.records.get(key).cloned();
         if present.as_ref().map_or(0, |record| record.version) != expected {
