--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -62,6 +62,15 @@
     pub(super) floor: Option<LogPosition>,
 }
 
+/// Whether the success of a statement is the acknowledgement of a commit.
+#[derive(Clone, Copy)]
+pub(super) enum Acknowledges<'a> {
+    /// It is not: the statement only read, or the transaction goes on.
+    Nothing,
+    /// It is, and the commit was sent with this permit, if there was one.
+    Commit(Option<&'a WritePermit>),
+}
+
 /// Outcome of one attempt.
 pub(super) enum AttemptOutcome {
     /// Reply for the caller.
@@ -332,8 +341,11 @@
                 return AttemptOutcome::Final(refusal_reply(Failure::InDoubt, &detail));
             }
         };
-        let commit = if is_read { None } else { Some(write_permit.as_ref()) };
-        let result = self.acknowledge_reply(&reply, commit);
+        let acknowledges = match is_read {
+            true => Acknowledges::Nothing,
+            false => Acknowledges::Commit(write_permit.as_ref()),
+        };
+        let result = self.acknowledge_reply(&reply, acknowledges);
         match result {
             Ok(answer) => {
                 if reply.block == BlockState::Idle {
@@ -377,15 +389,15 @@
         permit.is_some_and(|permit| lock(&self.pool).is_permitted(permit))
     }
 
-    /// Converts a member's reply to an answer. A reply to a commit is given with the permit of the
-    /// commit; it is added to the commit history and counts as acknowledged from then on.
+    /// Converts a member's reply to an answer. A commit is added to the commit history and counts as
+    /// acknowledged from then on; it is in doubt if its permit has been revoked.
     pub(super) fn acknowledge_reply(
         &self,
         reply: &MemberReply,
-        commit: Option<Option<&WritePermit>>,
+        acknowledges: Acknowledges<'_>,
     ) -> Result<Answer, Refusal> {
         let signature: Name = reply.result.clone()?;
-        if let Some(permit) = commit {
+        if let Acknowledges::Commit(permit) = acknowledges {
             let Some(position) = reply.position else {
                 return Err(Refusal::new(
                     Failure::InDoubt,
--- a/core/src/service/transactions.rs
+++ b/core/src/service/transactions.rs
@@ -20,6 +20,7 @@
 use crate::service::idle_transactions::MemberTransaction;
 use crate::service::pool::SlotRequest;
 use crate::service::pool::SlotTarget;
+use crate::service::runner::Acknowledges;
 use crate::service::runner::AttemptOutcome;
 use crate::service::runner::BUSY_RETRY_DELAY;
 use crate::service::runner::StartedAttempt;
@@ -197,9 +198,11 @@
     ) -> CallReply {
         let is_commit = matches!(timed.call.action, CallAction::Commit { .. });
         let is_write = is_write(&timed.call.action);
-        let commit =
-            (is_commit && transaction.has_written).then_some(transaction.write_permit.as_ref());
-        let result = self.acknowledge_reply(reply, commit);
+        let acknowledges = match is_commit && transaction.has_written {
+            true => Acknowledges::Commit(transaction.write_permit.as_ref()),
+            false => Acknowledges::Nothing,
+        };
+        let result = self.acknowledge_reply(reply, acknowledges);
         match result {
             Ok(answer) if is_commit => {
                 if reply.block == BlockState::Idle {
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -10,6 +10,7 @@
 mod nodes;
 mod placements;
 mod pools;
+mod primaries;
 mod rates;
 mod relay_formats;
 mod session_rules;
--- /dev/null
+++ b/core/tests/core/primaries.rs
@@ -0,0 +1,268 @@
+//! Changes of a service's primary in a cluster of nodes: what callers get, and which member is promoted.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+
+use crate::test_cluster::TestCluster;
+use crate::test_cluster::WAIT_LIMIT;
+use crate::test_cluster::failure;
+use crate::test_cluster::run;
+use snipehead_core::outcome::Failure;
+
+#[tokio::test]
+async fn a_dead_primary_is_replaced_with_the_owners_fencing_token() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.set_up("m1", false);
+    cluster.wait_until_serving(0).await;
+    let promotions = cluster.group.promotions();
+    assert_eq!(promotions.len(), 1, "{promotions:?}");
+    assert!(promotions[0].1 > 0);
+    assert_ne!(cluster.group.primary().as_deref(), Some("m1"));
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "w1", "STORE a 1").await.expect("written at the new primary");
+}
+
+/// A former primary that was promoted again acknowledged writes before the promotion took effect,
+/// because it still reported itself as primary of its old term.
+#[tokio::test]
+async fn a_former_primary_serves_only_once_its_new_term_has_begun() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.set_up("m1", false);
+    cluster.wait_until_serving(0).await;
+    let second = cluster.group.primary().expect("the group has a primary");
+    cluster.group.restart_as_stale_primary("m1");
+    cluster.group.promotion_ms.store(700, Ordering::Release);
+    for member in ["m2", "m3"] {
+        cluster.group.set_up(member, false);
+    }
+    let mut session = cluster.open(0, "bookings");
+    let started = Instant::now();
+    loop {
+        let ended = run(&mut session, "w1", "STORE a 1").await;
+        if let Ok(answer) = ended {
+            let term = answer.position.expect("the answer has a position").term;
+            assert!(term > 2, "written in term {term}, but {second} was the primary of term 2");
+            return;
+        }
+        assert!(started.elapsed() < WAIT_LIMIT, "the write is not served: {ended:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// An order without an answer was forgotten: the old primary came back, was used again, and took
+/// writes when the order took effect, all of which were lost.
+#[tokio::test]
+async fn a_primary_is_not_used_again_while_an_order_to_replace_it_may_take_effect() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.are_orders_unanswered.store(true, Ordering::Release);
+    cluster.group.promotion_ms.store(4_500, Ordering::Release);
+    let mut session = cluster.open(0, "bookings");
+    cluster.group.set_up("m1", false);
+    assert!(run(&mut session, "w0", "STORE a 0").await.is_err());
+    let started = Instant::now();
+    while cluster.group.promotions().is_empty() {
+        assert!(started.elapsed() < WAIT_LIMIT, "no promotion is ordered");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    cluster.group.restart_as_stale_primary("m1");
+    for number in 1.. {
+        let ended = run(&mut session, &format!("w{number}"), "STORE a 1").await;
+        if let Ok(answer) = ended {
+            let term = answer.position.expect("the answer has a position").term;
+            assert!(term > 1, "written in term {term} while the order is pending");
+            break;
+        }
+        assert!(started.elapsed() < WAIT_LIMIT, "no write is served: {ended:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A move whose promotion could not be recorded rolled transactions back in each attempt.
+#[tokio::test]
+async fn a_move_that_cannot_be_recorded_leaves_transactions_alone() {
+    let cluster = TestCluster::start(1).await;
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "b1", "BEGIN").await.expect("begun");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    let mut entries = cluster.group.entries();
+    entries[0].is_draining = true;
+    cluster.store.set_members(entries);
+    cluster.store.are_writes_refused.store(true, Ordering::Release);
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    run(&mut session, "c1", "COMMIT").await.expect("committed");
+    assert_eq!(cluster.group.promotions(), []);
+}
+
+/// A promotion that was accepted and had no effect was ordered again for ever, although another member
+/// could be promoted.
+#[tokio::test]
+async fn another_member_is_promoted_if_a_recorded_promotion_has_no_effect() {
+    let cluster = TestCluster::start(2).await;
+    cluster.wait_until_serving(1).await;
+    let owner = cluster.owner().expect("a host owns the service");
+    cluster.group.set_unpromotable("m3");
+    cluster.group.are_orders_unanswered.store(true, Ordering::Release);
+    cluster.group.set_up("m1", false);
+    let mut session = cluster.open(owner, "bookings");
+    assert!(run(&mut session, "w1", "STORE a 1").await.is_err());
+    let started = Instant::now();
+    while cluster.group.promotions().is_empty() {
+        assert!(started.elapsed() < WAIT_LIMIT, "no promotion is ordered");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(cluster.group.promotions()[0].0, "m3");
+    cluster.kill(owner).await;
+    cluster.group.are_orders_unanswered.store(false, Ordering::Release);
+    cluster.wait_until_serving(1 - owner).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+}
+
+/// A replica that had stopped receiving was promoted by a status from before, and commits that another
+/// replica had were lost.
+#[tokio::test]
+async fn a_replica_that_lags_is_not_promoted_by_an_old_report() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.stall_replication("m3");
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    cluster.group.set_up("m1", false);
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+}
+
+/// A new owner that reached only members of the older term adopted its primary, and reads lacked
+/// commits that had been acknowledged in the newer one.
+#[tokio::test]
+async fn a_new_owner_does_not_use_the_primary_of_an_older_term_than_one_that_was_served() {
+    let cluster = TestCluster::start(2).await;
+    cluster.wait_until_serving(1).await;
+    let owner = cluster.owner().expect("a host owns the service");
+    let other = 1 - owner;
+    cluster.group.cut(&format!("host-{owner}"), "m3");
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let mut session = cluster.open(owner, "bookings");
+    cluster.group.set_up("m1", false);
+    cluster.wait_until_serving(owner).await;
+    run(&mut session, "w1", "STORE a 1").await.expect("written in the second term");
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+    cluster.group.restart_as_stale_primary("m1");
+    cluster.group.cut(&format!("host-{other}"), "m2");
+    cluster.kill(owner).await;
+    let mut session = cluster.open(other, "bookings");
+    let started = Instant::now();
+    loop {
+        let ended = run(&mut session, "w2", "STORE a 2").await;
+        if let Ok(answer) = ended {
+            let term = answer.position.expect("the answer has a position").term;
+            assert!(term > 2, "written in term {term}");
+            break;
+        }
+        assert!(started.elapsed() < WAIT_LIMIT, "the write is not served: {ended:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// An order for a promotion that no later owner could know of was given while the store was away.
+#[tokio::test]
+async fn no_promotion_is_ordered_before_it_is_recorded() {
+    let cluster = TestCluster::start(1).await;
+    let mut session = cluster.open(0, "bookings");
+    cluster.store.is_down.store(true, Ordering::Release);
+    cluster.group.set_up("m1", false);
+    assert!(run(&mut session, "w1", "STORE a 1").await.is_err());
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(cluster.group.promotions(), []);
+    cluster.store.is_down.store(false, Ordering::Release);
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.promotions().len(), 1);
+}
+
+#[tokio::test]
+async fn a_draining_primary_is_replaced_and_steps_down() {
+    let cluster = TestCluster::start(1).await;
+    let mut entries = cluster.group.entries();
+    entries[0].is_draining = true;
+    cluster.store.set_members(entries);
+    let started = Instant::now();
+    while cluster.group.primary().as_deref() == Some("m1") {
+        assert!(started.elapsed() < WAIT_LIMIT, "the primary was not moved");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    cluster.wait_until_serving(0).await;
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    assert!(!cluster.group.executed("m1").contains(&"w1 STORE a 1".to_owned()));
+}
+
+/// Marks a member as draining, and waits until the promotion of another one is ordered.
+async fn drain_until_ordered(cluster: &TestCluster, member: &str) {
+    let mut entries = cluster.group.entries();
+    entries.iter_mut().for_each(|entry| entry.is_draining = &*entry.key.id == member);
+    cluster.store.set_members(entries);
+    let started = Instant::now();
+    while cluster.group.promotions().is_empty() {
+        assert!(started.elapsed() < WAIT_LIMIT, "no promotion is ordered");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// COMMITs of open transactions were sent to the former primary while and after its successor was
+/// promoted, acknowledged, and in no log afterwards.
+#[tokio::test]
+async fn an_open_transaction_is_refused_once_its_primary_is_being_replaced() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.promotion_ms.store(600, Ordering::Release);
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "b1", "BEGIN").await.expect("begun");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    drain_until_ordered(&cluster, "m1").await;
+    assert_eq!(failure(&mut session, "c1", "COMMIT").await, Some(Failure::Aborted));
+    assert_eq!(cluster.execution_count("c1"), 0);
+    run(&mut session, "w2", "STORE a 2").await.expect("written at the successor");
+    assert!(!cluster.group.executed("m1").contains(&"w2 STORE a 2".to_owned()));
+}
+
+/// A reply of the former primary that came after the order was passed on as a success.
+#[rstest]
+#[case::single_write(false)]
+#[case::commit(true)]
+#[tokio::test]
+async fn a_write_whose_reply_comes_after_the_change_of_primary_is_in_doubt(
+    #[case] is_commit: bool,
+) {
+    let cluster = TestCluster::start(1).await;
+    let mut session = cluster.open(0, "bookings");
+    if is_commit {
+        run(&mut session, "b1", "BEGIN").await.expect("begun");
+        run(&mut session, "w1", "STORE a 1").await.expect("written");
+    }
+    cluster.group.set_latency("m1", 1_500);
+    let text = if is_commit { "COMMIT" } else { "STORE a 1" };
+    let (outcome, ()) =
+        tokio::join!(failure(&mut session, "x1", text), drain_until_ordered(&cluster, "m1"));
+    assert_eq!(outcome, Some(Failure::InDoubt));
+    cluster.wait_until_serving(0).await;
+}
+
+/// A promotion was ordered although the successor had left the list in the meantime.
+#[tokio::test]
+async fn a_successor_that_leaves_during_a_move_is_not_promoted() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.stall_replication("m2");
+    cluster.group.stall_replication("m3");
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    let mut entries = cluster.group.entries();
+    entries[0].is_draining = true;
+    cluster.store.set_members(entries.clone());
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    for entry in &mut entries {
+        entry.key.incarnation += 10;
+    }
+    cluster.store.set_members(entries);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(cluster.group.promotions(), []);
+}
