Let one home after the other replace a lost primary

Cause: the delay of a home's rank was counted from the loss of the connection and was over before the failover timeout, so that all homes requested terms within milliseconds and superseded a primary just promoted.

Change: the delay counts from the first status that shows the primary silent everywhere; a home that sees a new term pauses; members are probed at each check while no primary is known; a request for a term ends once a majority is out of reach.

The new model test failed on the code before.

--- a/src/control/failover.rs
+++ b/src/control/failover.rs
@@ -10,7 +10,7 @@
 const CHART: &str = include_str!("../../charts/failover.json");
 
 /// Additional delay before a failover for each rank of a home, in milliseconds. It keeps the homes
-/// of a group from starting failovers at the same time.
+/// of a group from starting failovers at the same time, and from superseding each other's terms.
 const RANK_DELAY_MS: u64 = 400;
 
 /// Minimum time after an attempt before this home starts another, in milliseconds.
@@ -84,6 +84,11 @@
 pub struct FailoverCore {
     machine: StateMachine,
     lost_since_ms: Option<u64>,
+    /// Time since which no reachable replica has heard from a primary within the failover timeout,
+    /// in milliseconds.
+    silent_since_ms: Option<u64>,
+    /// Highest term seen so far, if a member has been observed.
+    seen_term: Option<u64>,
     term: u64,
     /// Member that an operator wants as primary.
     requested_member: Option<usize>,
@@ -108,6 +113,8 @@
         Ok(Self {
             machine: StateMachine::start(CHART)?,
             lost_since_ms: None,
+            silent_since_ms: None,
+            seen_term: None,
             term: 0,
             requested_member: None,
             is_move_requested: false,
@@ -130,11 +137,12 @@
 
     /// Updates the state from the inputs and returns what to do.
     pub fn step(&mut self, inputs: &FailoverInputs<'_>) -> Vec<FailoverAction> {
+        self.observe_term(inputs);
         let primary = inputs.view.primary();
         self.isolated = primary.filter(|primary| is_isolated(inputs, *primary));
         let is_lost = primary.is_none() || self.isolated.is_some();
         if !is_lost {
-            self.lost_since_ms = None;
+            self.forget_loss();
             self.machine.fire("primary_seen");
         }
         let event = match primary {
@@ -169,7 +177,7 @@
             FailoverOutcome::PromotionFailed => "promotion_failed",
         };
         if event != "stepped_down" && event != "term_granted" {
-            self.lost_since_ms = None;
+            self.forget_loss();
             self.is_move_requested = false;
             self.requested_member = None;
             self.stepping_down = None;
@@ -179,6 +187,34 @@
         self.actions(&action_names, view, successor)
     }
 
+    fn forget_loss(&mut self) {
+        self.lost_since_ms = None;
+        self.silent_since_ms = None;
+    }
+
+    /// Pauses this home's attempts after another home has requested a term, so that it does not
+    /// supersede the primary that the other home is about to promote.
+    fn observe_term(&mut self, inputs: &FailoverInputs<'_>) {
+        let term = inputs.view.highest_term();
+        if self.seen_term.is_some_and(|seen_term| term > seen_term.max(self.term)) {
+            self.cooldown_until_ms = self.cooldown_until_ms.max(inputs.now_ms + RANK_DELAY_MS);
+        }
+        if term > 0 {
+            self.seen_term = Some(term);
+        }
+    }
+
+    /// Returns for how long this home has found the primary silent everywhere, in milliseconds;
+    /// `None` if a replica hears from it.
+    fn silent_for_ms(&mut self, inputs: &FailoverInputs<'_>) -> Option<u64> {
+        if !is_primary_silent_everywhere(inputs) {
+            self.silent_since_ms = None;
+            return None;
+        }
+        let since_ms = *self.silent_since_ms.get_or_insert(inputs.now_ms);
+        Some(inputs.now_ms.saturating_sub(since_ms))
+    }
+
     fn check_primary_loss(&mut self, inputs: &FailoverInputs<'_>) -> Option<&'static str> {
         let since_ms = *self.lost_since_ms.get_or_insert(inputs.now_ms);
         self.machine.fire("primary_lost");
@@ -186,7 +222,7 @@
         let delay_ms = inputs.rank * RANK_DELAY_MS;
         let is_unreachable_too_long = inputs.is_unreachable_from_all_homes
             && waited_ms >= delay_ms + UNREACHABLE_FACTOR * inputs.failover_after_ms;
-        let is_silent = waited_ms >= delay_ms && is_primary_silent_everywhere(inputs);
+        let is_silent = self.silent_for_ms(inputs).is_some_and(|silent_ms| silent_ms >= delay_ms);
         let has_majority = inputs.view.reachable_count() >= inputs.view.majority()
             && inputs.now_ms >= self.cooldown_until_ms;
         (has_majority && (is_silent || is_unreachable_too_long)).then_some("failover_due")
--- a/src/control/failover_driver.rs
+++ b/src/control/failover_driver.rs
@@ -110,6 +110,10 @@
 
     fn check(&self) -> Vec<FailoverAction> {
         let view = self.home.prober().view();
+        if view.primary().is_none() {
+            // Idle probes are so far apart that homes would see each other's attempts too late.
+            self.home.prober().refresh();
+        }
         let leaving = self.leaving();
         let control = self.control.borrow();
         let fleet = control.fleet();
@@ -200,6 +204,9 @@
         loop {
             let granted =
                 grants.iter().flatten().filter(|grant: &&ControlReply| grant.is_granted).count();
+            if granted + requests.len() < majority {
+                return FailoverOutcome::TermGrants(grants);
+            }
             let next = match granted >= majority {
                 true => {
                     tokio::time::timeout(LATE_GRANT_TIMEOUT, requests.next()).await.ok().flatten()
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -5,6 +5,7 @@
 mod charts;
 mod classification;
 mod elections;
+mod failover_timing;
 mod limits;
 mod settings;
 mod versions;
--- a/tests/integration/decisions/elections.rs
+++ b/tests/integration/decisions/elections.rs
@@ -47,7 +47,7 @@
     prop::collection::vec(step, 1..250)
 }
 
-fn status_of(member: &MemberCore) -> MemberStatus {
+pub(super) fn status_of(member: &MemberCore) -> MemberStatus {
     let status = member.status(Instant::now());
     MemberStatus {
         is_primary: status.is_primary,
