Confirm writes that a majority had received before a planned move

Cause: a home counts a replica's receipt of a write only while the replica has accepted no higher term. A planned move asks for the next term as soon as one replica has everything, often before the other homes have probed it; the write was then told in doubt at once though a majority had it.

Change: the status of a member says how its previous term ended, and counts like a status seen at that moment. A write is given up only when too few members had received it or still can. A status row that cannot be parsed is refused; its fields were read as 0 before.

Ruled out: leaving out the check of the accepted term; the model of elections then loses an acknowledged write.

The new model test fails without the change.

--- a/src/group.rs
+++ b/src/group.rs
@@ -15,3 +15,4 @@
 pub mod quorum;
 pub mod slot_pool;
 pub mod sql_member_control;
+pub mod term_end;
--- a/src/group/member_connection.rs
+++ b/src/group/member_connection.rs
@@ -18,11 +18,12 @@
 use super::member_control::ControlReply;
 use super::member_control::MemberError;
 use super::member_status::MemberStatus;
+use super::term_end::TermEnd;
 use crate::wire::sql_error::SqlError;
 use crate::wire::text_row::text_values;
 
 /// Number of columns in the status row that control procedures return.
-const STATUS_COLUMNS: usize = 8;
+const STATUS_COLUMNS: usize = 12;
 
 /// Address and credentials for connections to a member.
 #[derive(Clone)]
@@ -152,23 +153,25 @@
 }
 
 fn parse_control_reply(values: &[String]) -> Result<ControlReply, MemberError> {
-    let numbers: Vec<u64> = values.iter().skip(2).map(|text| text.parse().unwrap_or(0)).collect();
-    let (true, [accepted_term, last_term, last_position, rest @ ..]) =
-        (values.len() == STATUS_COLUMNS, numbers.as_slice())
-    else {
-        return Err(MemberError::Refused("the status row has unexpected columns".to_owned()));
-    };
-    let [applied_term, applied_position, primary_silent_ms] = rest else {
-        return Err(MemberError::Refused("the status row has unexpected columns".to_owned()));
-    };
+    let unexpected =
+        || MemberError::Refused("the status row has unexpected columns or values".to_owned());
+    let values: &[String; STATUS_COLUMNS] = values.try_into().map_err(|_| unexpected())?;
+    let number = |index: usize| values[index].parse::<u64>().map_err(|_| unexpected());
+    let flag = |index: usize| values[index].parse::<bool>().map_err(|_| unexpected());
+    let position = |index: usize| Ok(LogPosition::new(number(index)?, number(index + 1)?));
     Ok(ControlReply {
-        is_granted: values[0] == "true",
+        is_granted: flag(0)?,
         status: MemberStatus {
-            is_primary: values[1] == "true",
-            accepted_term: *accepted_term,
-            received: LogPosition::new(*last_term, *last_position),
-            applied: LogPosition::new(*applied_term, *applied_position),
-            primary_silent_ms: *primary_silent_ms,
+            is_primary: flag(1)?,
+            accepted_term: number(2)?,
+            received: position(3)?,
+            applied: position(5)?,
+            primary_silent_ms: number(7)?,
+            previous_term_end: TermEnd {
+                term: number(8)?,
+                is_primary: flag(9)?,
+                received: position(10)?,
+            },
         },
     })
 }
--- a/src/group/quorum.rs
+++ b/src/group/quorum.rs
@@ -21,7 +21,8 @@
     Confirmed,
     /// Not yet known.
     Pending,
-    /// So many members have accepted a higher term that a majority can no longer confirm it.
+    /// So many members have accepted a higher term without it that a majority can no longer confirm
+    /// it.
     Superseded,
 }
 
@@ -68,22 +69,23 @@
     /// Returns whether a write committed by the primary of `commit.term` is durable.
     ///
     /// The primary itself has the write. Another member counts if its last entry is of the same
-    /// term, so that its log is a prefix of the primary's, and if it has accepted no higher term.
-    /// Any later primary is then chosen from a majority in which at least one member has the
-    /// write.
+    /// term, so that its log is a prefix of the primary's, and if it has accepted no higher term,
+    /// or had this log when it accepted one. Any later primary is then chosen from a majority in
+    /// which at least one member has the write.
     pub fn acknowledgement(&self, commit: LogPosition) -> Acknowledgement {
-        let has_received = |status: &MemberStatus| {
-            !status.is_primary
-                && status.accepted_term == commit.term
-                && status.received.term == commit.term
-                && status.received.position >= commit.position
+        let others = || {
+            let statuses = self.observations.iter().map(|observed| observed.map(|it| it.status));
+            statuses.filter(|status| !status.is_some_and(|it| it.was_primary_in(commit.term)))
         };
-        let statuses = self.observations.iter().flatten().map(|observation| observation.status);
-        let confirming = statuses.clone().filter(has_received).count();
-        let superseding = statuses.filter(|status| status.accepted_term > commit.term).count();
+        let has_received = |status: &MemberStatus| status.has_received_in_term(commit);
+        let may_receive = |status: &MemberStatus| status.accepted_term <= commit.term;
+        let confirming = others().flatten().filter(has_received).count();
+        let possible = others()
+            .filter(|status| status.is_none_or(|it| has_received(&it) || may_receive(&it)))
+            .count();
         if confirming + 1 >= self.majority() {
             Acknowledgement::Confirmed
-        } else if self.len() - superseding < self.majority() {
+        } else if possible + 1 < self.majority() {
             Acknowledgement::Superseded
         } else {
             Acknowledgement::Pending
--- a/src/stand_in/member/core.rs
+++ b/src/stand_in/member/core.rs
@@ -37,6 +37,21 @@
     pub applied_position: u64,
     /// Time since the last message from a primary, in milliseconds; 0 on a primary.
     pub primary_silent_ms: u64,
+    /// State when the member accepted its current term; of term 0 if it has accepted no other.
+    pub previous_term_end: TermEnd,
+}
+
+/// State of a member at the moment it accepted a higher term.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TermEnd {
+    /// The term that ended.
+    pub term: u64,
+    /// Whether the member considered itself primary.
+    pub is_primary: bool,
+    /// Term of the last received log entry.
+    pub last_term: u64,
+    /// Position of the last received log entry.
+    pub last_position: u64,
 }
 
 /// Request of a primary to append log entries. Without entries it is a heartbeat.
@@ -71,6 +86,7 @@
     /// Promoter to which the accepted term was granted; empty if it was learned from another
     /// member.
     granted_to: String,
+    previous_term_end: TermEnd,
     log: Vec<LogEntry>,
     /// Time of receipt of each log entry.
     received_at: Vec<Instant>,
@@ -96,6 +112,7 @@
             is_primary: starts_as_primary,
             accepted_term: 1,
             granted_to: String::new(),
+            previous_term_end: TermEnd::default(),
             log: Vec::new(),
             received_at: Vec::new(),
             last_append_at: Instant::now(),
@@ -150,6 +167,7 @@
             applied_term: self.term_at(self.applied_position),
             applied_position: self.applied_position,
             primary_silent_ms,
+            previous_term_end: self.previous_term_end,
         }
     }
 
@@ -162,11 +180,21 @@
         if term <= self.accepted_term {
             return false;
         }
+        self.enter_term(term, promoter);
+        self.is_stepping_down = false;
+        true
+    }
+
+    fn enter_term(&mut self, term: u64, promoter: &str) {
+        self.previous_term_end = TermEnd {
+            term: self.accepted_term,
+            is_primary: self.is_primary,
+            last_term: self.term_at(self.last_position()),
+            last_position: self.last_position(),
+        };
         self.accepted_term = term;
         promoter.clone_into(&mut self.granted_to);
         self.is_primary = false;
-        self.is_stepping_down = false;
-        true
     }
 
     /// Becomes primary of a term that was granted to the promoter, and appends an empty log entry,
@@ -205,9 +233,7 @@
     pub fn append(&mut self, request: AppendRequest, now: Instant) -> AppendReply {
         let is_current = request.term >= self.accepted_term;
         if is_current && request.term > self.accepted_term {
-            self.accepted_term = request.term;
-            self.granted_to.clear();
-            self.is_primary = false;
+            self.enter_term(request.term, "");
         }
         let is_continuous = request.previous_position <= self.last_position()
             && self.term_at(request.previous_position) == request.previous_term;
@@ -251,9 +277,7 @@
     /// Accepts the term of another member if it is higher, which ends the role of primary.
     pub fn observe_term(&mut self, term: u64) {
         if term > self.accepted_term {
-            self.accepted_term = term;
-            self.granted_to.clear();
-            self.is_primary = false;
+            self.enter_term(term, "");
         }
     }
 
--- a/src/stand_in/member/session/control.rs
+++ b/src/stand_in/member/session/control.rs
@@ -98,6 +98,10 @@
         "applied_term",
         "applied_position",
         "primary_silent_ms",
+        "ended_term",
+        "ended_term_is_primary",
+        "ended_term_last_term",
+        "ended_term_last_position",
     ])
 }
 
@@ -111,5 +115,9 @@
         status.applied_term.to_string(),
         status.applied_position.to_string(),
         status.primary_silent_ms.to_string(),
+        status.previous_term_end.term.to_string(),
+        status.previous_term_end.is_primary.to_string(),
+        status.previous_term_end.last_term.to_string(),
+        status.previous_term_end.last_position.to_string(),
     ]
 }
--- a/tests/integration/decisions/elections.rs
+++ b/tests/integration/decisions/elections.rs
@@ -15,6 +15,7 @@
 use snipehead::group::quorum::Acknowledgement;
 use snipehead::group::quorum::Observation;
 use snipehead::group::quorum::QuorumView;
+use snipehead::group::term_end::TermEnd;
 use snipehead::stand_in::member::core::MemberCore;
 
 const MEMBERS: usize = 3;
@@ -57,6 +58,14 @@
         // Exceeds the failover timeout in `elect`, so that the time since the last message of a
         // primary never prevents a failover.
         primary_silent_ms: 60_000,
+        previous_term_end: TermEnd {
+            term: status.previous_term_end.term,
+            is_primary: status.previous_term_end.is_primary,
+            received: LogPosition::new(
+                status.previous_term_end.last_term,
+                status.previous_term_end.last_position,
+            ),
+        },
     }
 }
 
@@ -201,6 +210,37 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    /// An observer that probes the members only after the move still learns that they had received
+    /// the last writes.
+    #[test]
+    fn writes_received_before_a_planned_move_are_confirmed_after_it(
+        write_count in 1..5_usize,
+        receiver in 1..MEMBERS,
+        early_probes in prop::collection::vec(0..MEMBERS, 0..4),
+        promotes in any::<bool>(),
+    ) {
+        let mut simulation = GroupSimulation::new();
+        for _ in 0..write_count {
+            simulation.apply(&Step::Commit { member: 0 });
+        }
+        for member in early_probes {
+            simulation.apply(&Step::Probe { observer: 0, member });
+        }
+        simulation.apply(&Step::Replicate { from: 0, to: receiver });
+        simulation.apply(&Step::Elect { promoter: 0, voters: 0b111, promotes });
+        for member in 0..MEMBERS {
+            simulation.apply(&Step::Replicate { from: receiver, to: member });
+        }
+        for member in 0..MEMBERS {
+            simulation.apply(&Step::Probe { observer: 0, member });
+        }
+        prop_assert_eq!(simulation.acknowledged, simulation.committed);
+    }
+}
+
 #[test]
 fn simulation_acknowledges_writes_and_elects_a_primary() {
     let mut simulation = GroupSimulation::new();
