File a floor under the time since which a majority was probed

Cause: a floor for reads with an accepted age was filed under the time of the probe that completed it, while the other answers in it were up to 200 ms older, so that reads could be older than max_age_ms.

Change: a floor carries the time since which a majority was probed; the history of floors is a type of its own without input and output.

Ruled out: taking the oldest of all answers, which is also safe and keeps floors older than needed.

--- a/src/group.rs
+++ b/src/group.rs
@@ -3,6 +3,7 @@
 
 pub mod exclusive_connection;
 pub mod fair_queue;
+pub mod floor_history;
 pub mod group_home;
 pub mod local_connection;
 pub mod local_provider;
--- a/src/group/prober.rs
+++ b/src/group/prober.rs
@@ -1,6 +1,5 @@
 //! Probes the members of a group and waits for conditions on their statuses.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::floor_history::FloorHistory;
 use super::log_position::LogPosition;
 use super::member_control::MemberControl;
 use super::quorum::Acknowledgement;
@@ -29,9 +29,6 @@
 /// Longest such pause.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Number of past floors kept for reads that may return data up to a maximum age.
-const MAX_FLOOR_HISTORY: usize = 4096;
-
 /// Probes the members of a group, each over a connection of its own.
 pub struct Prober {
     members: Vec<Arc<dyn MemberControl>>,
@@ -40,8 +37,7 @@
     requested: watch::Sender<u64>,
     /// Counts the changes of the view, to wake tasks that wait for one.
     changed: watch::Sender<u64>,
-    /// Floors with the times at which their probes were sent, oldest first.
-    floor_history: Mutex<VecDeque<(u64, LogPosition)>>,
+    floor_history: Mutex<FloorHistory>,
     probes_sent: AtomicU64,
     stop: CancellationToken,
     tasks: TaskTracker,
@@ -55,7 +51,7 @@
             members,
             requested: watch::Sender::new(0),
             changed: watch::Sender::new(0),
-            floor_history: Mutex::new(VecDeque::new()),
+            floor_history: Mutex::new(FloorHistory::default()),
             probes_sent: AtomicU64::new(0),
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
@@ -121,26 +117,19 @@
     /// when a majority does not answer in time.
     pub async fn floor(&self, timeout: Duration) -> Option<LogPosition> {
         let first_probe = self.request_probe();
-        let waiting = self.wait_for(|quorum| quorum.floor(first_probe));
+        let waiting = self.wait_for(|quorum| quorum.floor(first_probe).map(|floor| floor.position));
         tokio::time::timeout(timeout, waiting).await.ok()
     }
 
     /// Returns the oldest floor recorded within the last `age_ms`, or a new one if there is none.
     pub async fn floor_at_age(&self, age_ms: u64, timeout: Duration) -> Option<LogPosition> {
-        let oldest_ms = clock::now_ms().saturating_sub(age_ms);
-        let known = self.past_floor(oldest_ms);
+        let known = lock(&self.floor_history).floor_at_age(clock::now_ms(), age_ms);
         match known {
             Some(floor) => Some(floor),
             None => self.floor(timeout).await,
         }
     }
 
-    fn past_floor(&self, oldest_ms: u64) -> Option<LogPosition> {
-        let history = lock(&self.floor_history);
-        let found = history.iter().find(|(sent_at_ms, _)| *sent_at_ms >= oldest_ms);
-        found.map(|(_, floor)| *floor)
-    }
-
     fn lock(&self) -> MutexGuard<'_, QuorumView> {
         lock(&self.quorum)
     }
@@ -221,7 +210,7 @@
                     Err(_) => quorum.mark_unreachable(member),
                 }
                 if let Some(floor) = quorum.floor(probe_number) {
-                    self.record_floor(sent_at_ms, floor);
+                    lock(&self.floor_history).record(floor);
                 }
             }
             self.changed.send_modify(|count| *count += 1);
@@ -233,17 +222,4 @@
             }
         }
     }
-
-    /// Records a floor with the time at which the probe that completed it was sent. The other
-    /// answers that it is based on may be older: all since the last probe request count.
-    fn record_floor(&self, sent_at_ms: u64, floor: LogPosition) {
-        let mut history = lock(&self.floor_history);
-        if history.back().is_some_and(|(last_ms, _)| *last_ms >= sent_at_ms) {
-            return;
-        }
-        history.push_back((sent_at_ms, floor));
-        if history.len() > MAX_FLOOR_HISTORY {
-            history.pop_front();
-        }
-    }
 }
--- a/src/group/quorum.rs
+++ b/src/group/quorum.rs
@@ -1,5 +1,7 @@
 //! Decides from the members' statuses what a majority has received, without any I/O.
 
+use std::cmp::Reverse;
+
 use super::log_position::LogPosition;
 use super::member_status::MemberStatus;
 
@@ -26,6 +28,15 @@
     Superseded,
 }
 
+/// A log position that includes every write acknowledged before a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Floor {
+    /// The log position.
+    pub position: LogPosition,
+    /// The time, in milliseconds since boot.
+    pub valid_at_ms: u64,
+}
+
 /// Latest observation of each member of a group.
 #[derive(Clone, Debug)]
 pub struct QuorumView {
@@ -93,21 +104,23 @@
     }
 
     /// Returns a log position that includes every write acknowledged before probe request
-    /// `first_probe`.
+    /// `first_probe`, and the time up to which it does.
     ///
     /// This requires answers to probes sent since that request from a majority of members that have
-    /// accepted the highest term seen in these answers. Otherwise, returns `None`.
-    pub fn floor(&self, first_probe: u64) -> Option<LogPosition> {
+    /// accepted the highest term seen in these answers. Otherwise, returns `None`. The answers may
+    /// be of different times: the floor is valid at the time since which a majority was probed.
+    pub fn floor(&self, first_probe: u64) -> Option<Floor> {
         let recent = || {
             let observations = self.observations.iter().flatten();
             observations.filter(|observation| observation.probe_number >= first_probe)
         };
         let term = recent().map(|observation| observation.status.accepted_term).max()?;
         let agreeing = recent().filter(|observation| observation.status.accepted_term == term);
-        if agreeing.clone().count() < self.majority() {
-            return None;
-        }
-        agreeing.map(|observation| observation.status.received).max()
+        let position = agreeing.clone().map(|observation| observation.status.received).max()?;
+        let mut sent_at_ms: Vec<u64> = agreeing.map(|observation| observation.sent_at_ms).collect();
+        sent_at_ms.sort_unstable_by_key(|at_ms| Reverse(*at_ms));
+        let valid_at_ms = *sent_at_ms.get(self.majority() - 1)?;
+        Some(Floor { position, valid_at_ms })
     }
 
     /// Returns the member to which writes go: one that is reachable and claims to be primary, while
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -6,6 +6,7 @@
 mod classification;
 mod elections;
 mod failover_timing;
+mod floors;
 mod limits;
 mod settings;
 mod versions;
