Promote a successor that lacks acknowledged commits only after a wait

Cause: nothing compared a successor's log with the newest position that the owner had acknowledged, so a promotion dropped acknowledged commits at once and without a line.

Ruled out: a wait of the next owner when the former one was cut off with the primary: it does not know the commits, and the traced cut lasts longer than any useful wait.

The test of a primary that returns failed without the wait.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod clock;
 pub mod commit_history;
+pub mod commit_protection;
 pub mod configuration;
 pub mod configuration_watch;
 mod digest;
--- a/core/src/metrics.rs
+++ b/core/src/metrics.rs
@@ -57,7 +57,12 @@
 
     /// Counts an event.
     pub fn increment(&self, event: &'static str) {
-        *lock(&self.counts).events.entry(event).or_default() += 1;
+        self.add(event, 1);
+    }
+
+    /// Adds to the count of an event.
+    pub fn add(&self, event: &'static str, count: u64) {
+        *lock(&self.counts).events.entry(event).or_default() += count;
     }
 
     /// Renders all metrics as text, one per line.
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -79,6 +79,9 @@
     pub apply_limit_ms: u64,
     /// Time from the stop signal until the process is killed, in milliseconds.
     pub grace_ms: u64,
+    /// Longest wait, while a primary is lost, for a successor that has every acknowledged commit, in
+    /// milliseconds.
+    pub promotion_wait_ms: u64,
 }
 
 /// External systems that a node uses.
@@ -214,10 +217,16 @@
             }
         }
         let owned: Vec<Arc<OwnedService>> = lock(&self.services).values().cloned().collect();
+        let mut losses = Vec::new();
         for service in owned {
-            problems.extend(service.summary().problems());
+            let summary = service.summary();
+            problems.extend(summary.problems());
+            losses.extend(summary.loss_report());
+        }
+        let mut role = self.role_report();
+        for loss in losses {
+            let _ = writeln!(role, "{loss}");
         }
-        let role = self.role_report();
         match problems.is_empty() {
             true => (true, format!("All is well.\n{role}")),
             false => (false, format!("Not all is well:\n- {}\n{role}", problems.join("\n- "))),
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -225,6 +225,7 @@
             members: node.members.clone(),
             configuration: node.configuration.clone(),
             metrics: node.metrics.clone(),
+            promotion_wait_ms: node.settings.promotion_wait_ms,
             node: node.clone(),
         };
         log::info!(event = "ownership_started", service = &*name, token = token; "");
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -28,6 +28,8 @@
 
 use crate::clock::now_ms;
 use crate::commit_history::CommitHistory;
+use crate::commit_protection::CommitLoss;
+use crate::commit_protection::CommitProtection;
 use crate::configuration_watch::ConfigurationWatch;
 use crate::member::MemberConnector;
 use crate::member::MemberKey;
@@ -75,6 +77,8 @@
     pub configuration: Arc<ConfigurationWatch>,
     /// Counters and latency histograms.
     pub metrics: Arc<Metrics>,
+    /// Longest wait for a successor that has every acknowledged commit, in milliseconds.
+    pub promotion_wait_ms: u64,
     /// The node itself.
     pub node: Arc<dyn NodeHandle>,
 }
@@ -117,6 +121,11 @@
 #[derive(Default)]
 struct ServiceState {
     history: Option<CommitHistory>,
+    commit_protection: CommitProtection,
+    /// Commits that the member lacks whose promotion is ordered.
+    pending_loss: Option<CommitLoss>,
+    /// Commits that the last promotion which lost any has lost.
+    last_loss: Option<CommitLoss>,
     rates: TenantRates,
 }
 
@@ -399,6 +408,7 @@
             waiting: pool.waiting(),
             transactions: self.open_transactions(),
             members: members.collect(),
+            last_loss: lock(&self.state).last_loss.clone(),
         }
     }
 }
@@ -416,6 +426,8 @@
     pub transactions: usize,
     /// Members of the service.
     pub members: Vec<MemberSummary>,
+    /// Acknowledged commits lost by the last promotion under this owner that lost any.
+    pub last_loss: Option<CommitLoss>,
 }
 
 impl ServiceSummary {
@@ -431,6 +443,19 @@
         problems
     }
 
+    /// Describes the last promotion that lost acknowledged commits, if there was one.
+    pub fn loss_report(&self) -> Option<String> {
+        let loss = self.last_loss.as_ref()?;
+        Some(format!(
+            "service {}: the promotion of {} lost up to {} acknowledged commits ({} acknowledged, {} held)",
+            self.name,
+            loss.member,
+            loss.max_commits(),
+            loss.acknowledged,
+            loss.held
+        ))
+    }
+
     /// Appends the metrics in text format, one per line.
     pub fn render_metrics(&self, text: &mut String) {
         let service = &self.name;
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -148,7 +148,12 @@
             match decision {
                 // A busy member may not have reported its log; the next check asks it again.
                 Decision::Probe => {}
-                Decision::Keep => self.drop_demoted_primary(primary.as_ref(), &views),
+                Decision::Keep => {
+                    if primary.as_ref().is_some_and(|primary| answers(primary, &views)) {
+                        lock(&self.state).commit_protection.end_wait();
+                    }
+                    self.drop_demoted_primary(primary.as_ref(), &views);
+                }
                 Decision::Adopt(leader) => {
                     if self.adopt_primary(&leader).await {
                         self.record_primary_in_use().await;
@@ -156,6 +161,9 @@
                 }
                 Decision::Replace(successor) => {
                     self.replace_primary(&mut probe_connections, primary.as_ref(), successor).await;
+                    if lock(&self.state).commit_protection.is_waiting() {
+                        self.probe_all(&mut probe_connections).await;
+                    }
                 }
                 Decision::Move(successor) => {
                     self.move_primary(&mut probe_connections, primary.as_ref(), successor).await;
@@ -256,6 +264,10 @@
     }
 }
 
+fn answers(member: &MemberKey, views: &[MemberView]) -> bool {
+    views.iter().any(|view| view.key == *member && view.failing_since_ms.is_none())
+}
+
 /// Merges the entries of a service in a newly read list into the known ones. Members that are
 /// missing from it stay for `MAX_MISSED_READS` reads, unless they are draining.
 fn merge_entries(
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::now_ms;
 use crate::commit_history::CommitHistory;
+use crate::commit_protection::Verdict;
 use crate::member::MemberCommand;
 use crate::member::MemberEntry;
 use crate::member::MemberKey;
@@ -67,6 +68,7 @@
             }
         }
         lock(&self.succession).set_served_term(status.term);
+        self.settle_commit_loss(leader);
         self.use_primary(Some(leader));
         lock(&self.pool).set_primary_paused(false);
         log::info!(
@@ -78,6 +80,27 @@
         true
     }
 
+    /// Ends the wait for acknowledged commits. Reports those that are lost, if the member that serves
+    /// now was promoted without them.
+    fn settle_commit_loss(&self, leader: &MemberKey) {
+        let loss = {
+            let mut state = lock(&self.state);
+            state.commit_protection.end_wait();
+            let loss = state.pending_loss.take().filter(|loss| loss.member == leader.id);
+            state.last_loss = loss.clone().or(state.last_loss.take());
+            loss
+        };
+        let Some(loss) = loss else { return };
+        self.context.metrics.increment("promotions_with_lost_commits");
+        self.context.metrics.add("commits_lost_by_promotions", loss.max_commits());
+        log::warn!(
+            event = "promotion_lost_commits", service = &*self.name, member = &*leader.id,
+            acknowledged = loss.acknowledged.to_string(), held = loss.held.to_string(),
+            max_commits = loss.max_commits(), token = self.fencing_token;
+            "no member that answered had every acknowledged commit"
+        );
+    }
+
     /// Returns what the lease records about the primary.
     fn leadership(&self) -> Leadership {
         lock(&self.succession).recorded().clone()
@@ -129,13 +152,39 @@
                 return;
             }
         }
-        if !self.has_valid_lease() {
+        if !self.has_valid_lease() || !self.may_promote(&successor) {
             return;
         }
         self.use_primary(None);
         self.promote(probe_connections, primary, &successor).await;
     }
 
+    /// Returns whether a successor of a lost primary may be promoted now, although it may lack
+    /// acknowledged commits. The caller probes the members again if not.
+    fn may_promote(&self, successor: &MemberKey) -> bool {
+        let held = lock(&self.pool).members().get(successor).map(|member| member.position);
+        let mut state = lock(&self.state);
+        let acknowledged = state.history.as_ref().map(CommitHistory::newest);
+        let limit_ms = self.context.promotion_wait_ms;
+        let was_waiting = state.commit_protection.is_waiting();
+        let held = held.unwrap_or_default();
+        let verdict =
+            state.commit_protection.check(now_ms(), limit_ms, acknowledged, &successor.id, held);
+        state.pending_loss = match &verdict {
+            Verdict::Incomplete(loss) => Some(loss.clone()),
+            Verdict::Complete | Verdict::Wait => None,
+        };
+        drop(state);
+        if verdict == Verdict::Wait && !was_waiting {
+            log::warn!(
+                event = "promotion_waits_for_commits", service = &*self.name,
+                member = &*successor.id, held = held.to_string(),
+                acknowledged = acknowledged.unwrap_or_default().to_string(), limit_ms = limit_ms; ""
+            );
+        }
+        verdict != Verdict::Wait
+    }
+
     /// Returns the primary in use, or else the recorded one, if this node does not reach it.
     fn unreachable_primary(&self, primary: Option<&MemberKey>) -> Option<MemberEntry> {
         let recorded = self.leadership().primary;
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the core crate without the protocols of callers, members and the platform.
 
 mod commit_histories;
+mod commit_protections;
 mod configurations;
 mod connection_counts;
 mod failovers;
--- a/core/tests/core/test_cluster.rs
+++ b/core/tests/core/test_cluster.rs
@@ -33,6 +33,7 @@
 
 pub const REVOKE_LIMIT_MS: u64 = 2_000;
 pub const APPLY_LIMIT_MS: u64 = 3_000;
+pub const PROMOTION_WAIT_MS: u64 = 800;
 
 /// Longest wait for an expected state.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(15);
@@ -122,6 +123,7 @@
             seeds: Vec::new(),
             revoke_limit_ms: REVOKE_LIMIT_MS,
             apply_limit_ms: APPLY_LIMIT_MS,
+            promotion_wait_ms: PROMOTION_WAIT_MS,
             grace_ms: 2_000,
         };
         let dependencies = NodeDependencies {
