Keep extreme numbers from overflowing

Cause: times, terms and counts that come from the store, other nodes and operators were added without a check. A release build wraps: a lease record with a send time near the end of the range looked long expired, and its lease would have been taken over while it was held. A time limit of more than two years ended the task of the connection between two nodes, and every call on it.

Ruled out: refusing such records when they are decoded, which would leave a lease without a holder that anybody knows.

--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -342,7 +342,7 @@
 
     /// Returns the time since a lease certainly expired by the store's clock, if it did.
     fn expired_for_ms(&self, now_ms: u64, record: &LeaseRecord) -> Option<u64> {
-        let expires_at_ms = record.sent_at_store_ms? + LEASE_MS + TAKEOVER_MARGIN_MS;
+        let expires_at_ms = record.sent_at_store_ms?.saturating_add(LEASE_MS + TAKEOVER_MARGIN_MS);
         self.store_clock.at_least_ms(now_ms)?.checked_sub(expires_at_ms)
     }
 
--- a/core/src/metadata_server.rs
+++ b/core/src/metadata_server.rs
@@ -95,9 +95,9 @@
 /// Returns whether an update contains something that the requesting node lacked when it sent the request
 /// `held_ms` ago.
 fn has_news(request: &MetadataRequest, update: &MetadataUpdate, held_ms: u64) -> bool {
-    let is_newer = request
-        .confirmation_age_ms
-        .is_none_or(|theirs_ms| update.confirmation_age_ms + NEWER_BY_MS < theirs_ms + held_ms);
+    let is_newer = request.confirmation_age_ms.is_none_or(|theirs_ms| {
+        update.confirmation_age_ms.saturating_add(NEWER_BY_MS) < theirs_ms.saturating_add(held_ms)
+    });
     is_newer
         || update.configuration.is_some()
         || update.owners.is_some()
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -397,8 +397,8 @@
     /// is `None` if no owner answered.
     pub async fn call(&self, mut call: Call) -> (CallReply, Option<SocketAddr>) {
         let started_at_ms = now_ms();
-        let queue_until_ms = started_at_ms + call.max_queue_ms;
-        let deadline_at_ms = started_at_ms + call.deadline_ms;
+        let queue_until_ms = started_at_ms.saturating_add(call.max_queue_ms);
+        let deadline_at_ms = started_at_ms.saturating_add(call.deadline_ms);
         let objective_at_ms = started_at_ms + call.objective_ms;
         let mut changes = self.owner_directory.changes();
         loop {
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -37,20 +37,25 @@
 /// Returns the share of a node's capacity that its services and one more take; the smaller the
 /// better.
 pub fn share_with_one_more(owned: u64, capacity: u32) -> u64 {
-    (owned + 1) * SHARE_SCALE / u64::from(capacity.max(1))
+    owned.saturating_add(1).saturating_mul(SHARE_SCALE) / u64::from(capacity.max(1))
 }
 
 /// Returns whether a service should move from a node that owns `mine` services to one that owns
 /// `theirs`: the other one must be less loaded after the move than this one was before it, so that the
 /// service does not move back.
 pub fn should_move(mine: u64, my_capacity: u32, theirs: u64, their_capacity: u32) -> bool {
-    (theirs + 1) * u64::from(my_capacity) < mine * u64::from(their_capacity)
+    load(theirs.saturating_add(1), my_capacity) < load(mine, their_capacity)
 }
 
 /// Returns whether a service may move to another node for the sake of its data centre: the other
 /// one must be no more loaded after the move than this one was before it.
 pub fn may_move_for_zone(mine: u64, my_capacity: u32, theirs: u64, their_capacity: u32) -> bool {
-    (theirs + 1) * u64::from(my_capacity) <= mine * u64::from(their_capacity)
+    load(theirs.saturating_add(1), my_capacity) <= load(mine, their_capacity)
+}
+
+/// Returns a number of services, scaled by the capacity of the node that it is compared with.
+fn load(services: u64, other_capacity: u32) -> u128 {
+    u128::from(services) * u128::from(other_capacity)
 }
 
 impl Placement {
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -52,6 +52,9 @@
 /// Time allowed for the transit of an answer, beyond the deadline of the statement.
 const TRANSIT_MS: u64 = 150;
 
+/// Longest time limit of a call. A timer beyond two years ends the connection's task.
+const MAX_CALL_TIME: Duration = Duration::from_hours(24);
+
 /// Longest wait for the answer to a call that runs no statement.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -244,7 +247,8 @@
     ) -> Result<CallReply, RelayError> {
         let client = self.client(address).await?;
         let unresponsive = lock(&self.connections).entry(address).or_default().unresponsive.clone();
-        let context = context_within(Duration::from_millis(call.deadline_ms + TRANSIT_MS));
+        let context =
+            context_within(Duration::from_millis(call.deadline_ms.saturating_add(TRANSIT_MS)));
         let running = client.run(context, call);
         tokio::pin!(running);
         loop {
@@ -379,11 +383,11 @@
     context_within(CONTROL_TIMEOUT)
 }
 
-/// Returns the context of a call with this time limit. It names no trace, because random
+/// Returns the context of a call with this time limit, up to [`MAX_CALL_TIME`]. It names no trace, because random
 /// identifiers cannot be compressed and nothing collects traces.
 fn context_within(limit: Duration) -> context::Context {
     let mut context = context::current();
-    context.deadline = Instant::now() + limit;
+    context.deadline = Instant::now() + limit.min(MAX_CALL_TIME);
     context.trace_context = trace::Context::default();
     context
 }
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -102,8 +102,8 @@
     pub async fn run(self: &Arc<Self>, call: Call) -> CallReply {
         let now_ms = now_ms();
         let timed = TimedCall {
-            deadline_at_ms: now_ms + call.deadline_ms,
-            queue_until_ms: now_ms + call.max_queue_ms.min(call.deadline_ms),
+            deadline_at_ms: now_ms.saturating_add(call.deadline_ms),
+            queue_until_ms: now_ms.saturating_add(call.max_queue_ms.min(call.deadline_ms)),
             objective_at_ms: now_ms + call.objective_ms,
             call,
         };
--- a/core/src/session.rs
+++ b/core/src/session.rs
@@ -346,7 +346,8 @@
             read_requirement: self.read_requirement(route),
             starts_operation: true,
             deadline_ms: route.timeout_ms.saturating_sub(spent_ms),
-            max_queue_ms: (route.timeout_ms * MAX_QUEUE_PERCENT / 100).saturating_sub(spent_ms),
+            max_queue_ms: (route.timeout_ms.saturating_mul(MAX_QUEUE_PERCENT) / 100)
+                .saturating_sub(spent_ms),
             objective_ms: route.objective_ms.saturating_sub(spent_ms),
             priority: route.priority,
         }
--- a/core/src/store_clock.rs
+++ b/core/src/store_clock.rs
@@ -86,10 +86,14 @@
 
 fn upper_bound_ms(bound: Bound, now_ms: u64) -> u64 {
     let elapsed_ms = now_ms.saturating_sub(bound.local_ms);
-    bound.store_ms + elapsed_ms + elapsed_ms * DRIFT_MS_PER_S / 1_000
+    bound.store_ms.saturating_add(elapsed_ms).saturating_add(drift_ms(elapsed_ms))
 }
 
 fn lower_bound_ms(bound: Bound, now_ms: u64) -> u64 {
     let elapsed_ms = now_ms.saturating_sub(bound.local_ms);
-    bound.store_ms + elapsed_ms - elapsed_ms * DRIFT_MS_PER_S / 1_000
+    bound.store_ms.saturating_add(elapsed_ms - drift_ms(elapsed_ms))
+}
+
+fn drift_ms(elapsed_ms: u64) -> u64 {
+    elapsed_ms / 1_000 * DRIFT_MS_PER_S + elapsed_ms % 1_000 * DRIFT_MS_PER_S / 1_000
 }
--- a/core/src/succession.rs
+++ b/core/src/succession.rs
@@ -67,7 +67,7 @@
     pub fn promotion_of(&self, member: &Name, reported_term: u64) -> Leadership {
         let newest = reported_term.max(self.served_term).max(self.recorded.served_term());
         Leadership {
-            term: newest + 1,
+            term: newest.saturating_add(1),
             primary: self.recorded.primary.clone(),
             pending_promotion: Some(member.clone()),
         }
--- a/core/src/token_cache.rs
+++ b/core/src/token_cache.rs
@@ -71,10 +71,10 @@
     pub fn add_fetched(&mut self, now_ms: u64, tenant: &Name, granted: u32, retry_ms: u64) -> bool {
         let entry = self.tenants.entry(tenant.clone()).or_default();
         if granted == 0 {
-            entry.refused_until_ms = now_ms + retry_ms;
+            entry.refused_until_ms = now_ms.saturating_add(retry_ms);
             return false;
         }
-        entry.tokens += granted - 1;
+        entry.tokens = entry.tokens.saturating_add(granted - 1);
         true
     }
 
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -4,6 +4,7 @@
 mod commit_protections;
 mod configurations;
 mod connection_counts;
+mod extreme_values;
 mod failovers;
 mod leases;
 mod member_lists;
