End transactions with a request id, and send each answer once

Cause, four faults found by reading: a single COMMIT or ROLLBACK in a transaction with a request id was refused as a mixed query, so that simple queries could not end it; an id set in a started transaction was accepted and never stored, so that a repeat would run again; a request whose rows had been forwarded was retried when its commit failed; an error of the member outside a block counted as success, and later messages of the batch were processed.

Change: each is handled where it arises; the exchange reports whether replies were forwarded.

Ruled out: holding all rows back until the commit, which would buffer large results.

--- a/src/caller/request_runner.rs
+++ b/src/caller/request_runner.rs
@@ -78,8 +78,15 @@
 
 /// How an exchange with the member ended.
 enum ExchangeOutcome {
-    /// All replies arrived. `deferred` is a command tag that the caller has not been sent yet.
-    Complete { status: Option<TransactionStatus>, deferred: Option<Reply> },
+    /// All replies arrived.
+    Complete {
+        /// Transaction status that the member reported, if it reported one.
+        status: Option<TransactionStatus>,
+        /// Command tag that the caller has not been sent yet.
+        deferred: Option<Reply>,
+        /// Whether the caller has been sent other replies.
+        is_forwarded: bool,
+    },
     /// The member rejected the batch or rolled it back, so that it can be tried again; the caller
     /// has been sent no reply.
     Rejected(SqlError),
@@ -98,6 +105,8 @@
     pub block: Option<TransactionBlock>,
     /// Whether the member skips messages until it gets a Sync, after an error.
     needs_sync: bool,
+    /// Whether an error of the member was forwarded in the current run.
+    has_forwarded_error: bool,
 }
 
 impl RequestRunner {
@@ -107,7 +116,15 @@
         cancel: Arc<Notify>,
         settings: SessionSettings,
     ) -> Self {
-        Self { context, cancel, connection: None, settings, block: None, needs_sync: false }
+        Self {
+            context,
+            cancel,
+            connection: None,
+            settings,
+            block: None,
+            needs_sync: false,
+            has_forwarded_error: false,
+        }
     }
 
     /// Returns whether the session uses a connection to a member.
@@ -122,8 +139,8 @@
 
     /// Runs a batch and sends the caller the replies, except for ReadyForQuery.
     ///
-    /// Returns `false` when the daemon reported an error or the caller's block has failed. An error
-    /// that the member reported outside a block is forwarded, and the result is `true`.
+    /// Returns `false` when the caller was sent an error, or its block has failed: the messages up to
+    /// the next Sync must then be skipped.
     ///
     /// # Errors
     ///
@@ -134,6 +151,7 @@
         wire: &mut CallerWire,
     ) -> Result<bool, SessionEnd> {
         let started_at = Instant::now();
+        self.has_forwarded_error = false;
         let outcome = self.run_with_retries(batch, wire).await?;
         let elapsed_us = started_at.elapsed().as_micros() as u64;
         if let Some(limiter) = self.context.limiter.workspace(&self.settings.workspace) {
@@ -143,7 +161,7 @@
             }
         }
         match outcome {
-            Ok(()) => Ok(!self.is_block_failed()),
+            Ok(()) => Ok(!self.is_block_failed() && !self.has_forwarded_error),
             Err(error) => {
                 self.fail_block();
                 send(wire, error.into_message()).await?;
@@ -212,7 +230,7 @@
         let may_retry = is_new_connection;
         let outcome = self.exchange(batch, wire, may_retry).await?;
         match outcome {
-            ExchangeOutcome::Complete { status, deferred } => {
+            ExchangeOutcome::Complete { status, deferred, .. } => {
                 if let Some(deferred) = deferred {
                     send(wire, deferred).await?;
                 }
@@ -301,6 +319,7 @@
                     if let Some(earlier) = deferred.take() {
                         send(wire, earlier).await?;
                     }
+                    self.has_forwarded_error |= matches!(reply, Reply::ErrorResponse(_));
                     if defers_tags && matches!(reply, Reply::CommandComplete(_)) {
                         deferred = Some(reply);
                     } else {
@@ -312,7 +331,7 @@
         }
         Ok(match rejection {
             Some(error) => ExchangeOutcome::Rejected(error),
-            None => ExchangeOutcome::Complete { status, deferred },
+            None => ExchangeOutcome::Complete { status, deferred, is_forwarded },
         })
     }
 
--- a/src/caller/request_runner/idempotent.rs
+++ b/src/caller/request_runner/idempotent.rs
@@ -34,8 +34,10 @@
         let Some(request) = request else {
             return Ok(AttemptOutcome::Failed(not_run("the request has no request id")));
         };
-        let (status, deferred) = match self.exchange(batch, wire, true).await? {
-            ExchangeOutcome::Complete { status, deferred } => (status, deferred),
+        let (status, deferred, is_forwarded) = match self.exchange(batch, wire, true).await? {
+            ExchangeOutcome::Complete { status, deferred, is_forwarded } => {
+                (status, deferred, is_forwarded)
+            }
             ExchangeOutcome::Rejected(error) => return Ok(AttemptOutcome::NotRun(error)),
             ExchangeOutcome::ConnectionFailed { error, is_forwarded } => {
                 return Ok(match is_forwarded {
@@ -63,6 +65,11 @@
                 }
                 Ok(AttemptOutcome::Done(Some(TransactionStatus::Idle)))
             }
+            // The caller must not be sent the same rows twice.
+            Err(CommandError::ConnectionFailed(error)) if is_forwarded => {
+                Ok(AttemptOutcome::Failed(unknown_outcome(&error)))
+            }
+            Err(CommandError::Sql(error)) if is_forwarded => Ok(AttemptOutcome::Failed(error)),
             // The request can safely run again: it finds the row of its id if the commit succeeded.
             Err(CommandError::ConnectionFailed(_)) => {
                 Ok(AttemptOutcome::NotRun(not_run("the connection to the member was lost")))
--- a/src/caller/session.rs
+++ b/src/caller/session.rs
@@ -28,6 +28,7 @@
 use crate::caller::request_runner::SessionEnd;
 use crate::caller::request_runner::flush;
 use crate::caller::request_runner::send;
+use crate::caller::session_settings::REQUEST_ID_SETTING;
 use crate::caller::session_settings::SessionSettings;
 use crate::caller::startup::AuthenticatedCaller;
 use crate::caller::startup::CallerWire;
@@ -326,6 +327,9 @@
             let message = "not run: send SET, SHOW and DISCARD as separate queries";
             return Some(SqlError::new(sql_state::NOT_SUPPORTED, message));
         }
+        if matches!(classes, [StatementClass::Commit | StatementClass::Rollback]) {
+            return None;
+        }
         let controls_block = classes.iter().any(StatementClass::controls_block);
         let has_unstarted = self.runner.block.as_ref().is_some_and(|block| !block.is_started);
         if controls_block && (self.runner.settings.request_id.is_some() || has_unstarted) {
@@ -393,8 +397,16 @@
     /// Sets or resets a setting of the session.
     fn set(&mut self, name: &str, value: Option<String>) -> Result<(), BatchError> {
         let is_proxy_setting = name.starts_with("snipehead.");
-        if !is_proxy_setting && self.runner.block.as_ref().is_some_and(|block| block.is_started) {
-            let message = "not run: inside a transaction use SET LOCAL";
+        let is_in_block = self.runner.block.as_ref().is_some_and(|block| block.is_started);
+        let refusal = match (is_in_block, is_proxy_setting) {
+            (true, false) => Some("not run: inside a transaction use SET LOCAL"),
+            // The id is stored when the transaction starts; a repeat would not find it.
+            (true, true) if name == REQUEST_ID_SETTING => {
+                Some("not run: set the request id before the first statement of the transaction")
+            }
+            _ => None,
+        };
+        if let Some(message) = refusal {
             return Err(BatchError::Report(SqlError::new(sql_state::NOT_SUPPORTED, message)));
         }
         self.runner.settings.set(name, value, &self.context.signer).map_err(BatchError::Report)
--- a/src/caller/session_settings.rs
+++ b/src/caller/session_settings.rs
@@ -30,6 +30,9 @@
 /// Settings that are accepted and ignored, because they don't affect results.
 const IGNORED: [&str; 3] = ["application_name", "client_min_messages", "log_statement"];
 
+/// Setting that holds the id of the next request or transaction.
+pub const REQUEST_ID_SETTING: &str = "snipehead.request_id";
+
 /// Maximum length of a request id, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 200;
 
@@ -86,7 +89,7 @@
             "snipehead.max_age_ms" => {
                 self.max_age_ms = value.map(|text| parse_age(&text)).transpose()?;
             }
-            "snipehead.request_id" => {
+            REQUEST_ID_SETTING => {
                 self.request_id = value.map(check_request_id).transpose()?;
             }
             "snipehead.token" => self.apply_token(value.as_deref().unwrap_or_default(), signer)?,
@@ -114,7 +117,7 @@
             "snipehead.max_age_ms" => {
                 Ok(self.max_age_ms.map(|age_ms| age_ms.to_string()).unwrap_or_default())
             }
-            "snipehead.request_id" => Ok(self.request_id.clone().unwrap_or_default()),
+            REQUEST_ID_SETTING => Ok(self.request_id.clone().unwrap_or_default()),
             "snipehead.token" => Ok(signer.sign(&TokenContent {
                 workspace: self.workspace.to_string(),
                 floors: self.written_positions.clone(),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,5 +9,6 @@
 mod operations;
 mod rates;
 mod reads;
+mod requests;
 mod sessions;
 mod writes;
