Show no text of unknown settings in findings

Cause: the check of settings printed the value of an unknown setting, also when its name was that of a secret setting, misspelt; the excerpt of a file with a missing setting could contain a password.

Change: texts, lists and objects are hidden there; numbers and flags are still shown.

Ruled out: hiding only names similar to those of secrets, since a name such as "password" is not similar enough.

Measured: the new test of four files failed on the code before and passes.

--- a/src/settings/schema_check.rs
+++ b/src/settings/schema_check.rs
@@ -10,6 +10,9 @@
 /// Names of settings whose values must not appear in findings.
 const SECRET_FIELDS: [&str; 2] = ["member_password", "shared_secret"];
 
+/// What a finding shows in place of a value that may be secret.
+const HIDDEN: &str = "(hidden)";
+
 /// Parses a text and checks it against a schema.
 ///
 /// # Errors
@@ -45,7 +48,7 @@
         let known = known_names(schema);
         let finding = |name: &String| {
             let path = format!("{path}/{name}");
-            let shown = value.pointer(&path).cloned().unwrap_or_default();
+            let shown = value.pointer(&path).map(shown_value).unwrap_or_default();
             Finding::new(&path, shown, unknown_setting_rule(name, &known))
         };
         return unexpected.iter().map(finding).collect();
@@ -53,12 +56,24 @@
     let is_secret = SECRET_FIELDS.iter().any(|field| path.ends_with(field));
     let instance = error.instance();
     let (shown, rule) = match is_secret {
-        true => ("(hidden)".to_owned(), "does not fit its rule in the schema".to_owned()),
+        true => (HIDDEN.to_owned(), "does not fit its rule in the schema".to_owned()),
+        false if instance.is_object() => {
+            (shown_value(instance), format!("breaks the rule: {error}"))
+        }
         false => (instance.to_string(), format!("breaks the rule: {error}")),
     };
     vec![Finding::new(&path, shown, rule)]
 }
 
+/// Returns a value as a finding shows it, unless it may be or contain a secret: the name of a secret
+/// setting may be misspelt.
+fn shown_value(value: &Value) -> String {
+    match value {
+        Value::Null | Value::Bool(_) | Value::Number(_) => value.to_string(),
+        Value::String(_) | Value::Array(_) | Value::Object(_) => HIDDEN.to_owned(),
+    }
+}
+
 fn unknown_setting_rule(name: &str, known: &[String]) -> String {
     let similarity = |known: &&String| strsim::jaro_winkler(name, known);
     let best = known.iter().max_by(|left, right| similarity(left).total_cmp(&similarity(right)));
--- a/tests/integration/decisions/settings.rs
+++ b/tests/integration/decisions/settings.rs
@@ -47,6 +47,24 @@
     assert_snapshot!(report);
 }
 
+/// The value of a misspelt secret setting was shown, and the excerpt of a file with a missing setting
+/// could contain one.
+#[test]
+fn findings_show_no_secret() {
+    let texts = [
+        r#"{"name":"host01","shared_secrt":"s3cret-s3cret-s3cret"}"#,
+        r#"{"member_password":"s3cret-s3cret-s3cret"}"#,
+        r#"{"name":"host01","shared_secret":["s3cret-s3cret-s3cret"]}"#,
+        r#"{"name":"host01","secrets":{"password":"s3cret-s3cret-s3cret"}}"#,
+    ];
+    for text in texts {
+        let findings = check_text(text);
+        assert!(!findings.is_empty(), "{text}");
+        let shown: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        assert!(!shown.concat().contains("s3cret"), "{shown:?}");
+    }
+}
+
 #[test]
 fn generated_types_are_those_of_the_schemas() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
