Tidy two new tests for readers

Imports instead of paths, and a match by the outcome of a promotion instead of a nested one; found when the change was read once more.

--- a/core/tests/core/extreme_values.rs
+++ b/core/tests/core/extreme_values.rs
@@ -1,6 +1,9 @@
 //! Values at the ends of their range in what the store and other nodes send: none ends the process
 //! (tests check arithmetic), and none gives a lease away early.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use proptest::prelude::*;
 
 use crate::test_cluster::TestCluster;
@@ -134,10 +137,10 @@
         *present = configuration();
         present.version += 1;
         for route in present.routes.values_mut() {
-            std::sync::Arc::make_mut(route).timeout_ms = u64::MAX;
+            Arc::make_mut(route).timeout_ms = u64::MAX;
         }
     });
-    tokio::time::sleep(std::time::Duration::from_millis(2_000)).await;
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
     for host in 0..2 {
         let mut session = cluster.open(host, "bookings");
         run(&mut session, &format!("w{host}"), "STORE a 1").await.expect("written");
--- a/tests/integration/decisions/failover_timing.rs
+++ b/tests/integration/decisions/failover_timing.rs
@@ -232,10 +232,9 @@
 
     fn deliver(&mut self) {
         let now_ms = self.now_ms;
-        let (due, later) =
+        let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.messages).into_iter().partition(|(at_ms, _)| *at_ms <= now_ms);
         self.messages = later;
-        let due: Vec<(u64, Message)> = due;
         for (_, message) in due {
             self.receive(message);
         }
@@ -275,14 +274,11 @@
                 }
                 self.send(Message::PromoteReply { home, is_promoted });
             }
-            Message::PromoteReply { home, is_promoted } => {
-                self.finish(
-                    home,
-                    match is_promoted {
-                        true => FailoverOutcome::Promoted,
-                        false => FailoverOutcome::PromotionFailed,
-                    },
-                );
+            Message::PromoteReply { home, is_promoted: true } => {
+                self.finish(home, FailoverOutcome::Promoted);
+            }
+            Message::PromoteReply { home, is_promoted: false } => {
+                self.finish(home, FailoverOutcome::PromotionFailed);
             }
         }
     }
