--- a/src/group/quorum.rs
+++ b/src/group/quorum.rs
@@ -81,8 +81,8 @@
     ///
     /// The primary itself has the write. Another member counts if its last entry is of the same
     /// term, so that its log is a prefix of the primary's, and if it has accepted no higher term,
-    /// or had this log when it accepted one. Any later primary is then chosen from a majority in
-    /// which at least one member has the write.
+    /// or had this log when it accepted one. Each majority that elects a later primary then contains
+    /// a member that has the write.
     pub fn acknowledgement(&self, commit: LogPosition) -> Acknowledgement {
         let others = || {
             let statuses = self.observations.iter().map(|observed| observed.map(|it| it.status));
