Let a stopping daemon end without waiting for held metadata

Callers saw nothing of it, but a daemon that was stopped soon after its start ended 1.96 s into a grace period of 2 s: its request for metadata may be held back by the other node for a second, and the task that asks looked at the stop only between rounds. With a grace period below that it would have been killed.

The request is now dropped at the stop; it only reads. Ruled out: open sessions (sessions_aborted was not logged) and hand-overs (the daemon owned nothing).

--- a/core/src/metadata_sync.rs
+++ b/core/src/metadata_sync.rs
@@ -99,7 +99,11 @@
             }
             SyncStep::Ask(address) => {
                 let wants_all = started_at_ms >= refresh_at_ms;
-                let outcome = sync_from_node(&node, address, wants_all).await;
+                // The answer may be held back for long.
+                let outcome = tokio::select! {
+                    () = node.stop.cancelled() => return,
+                    outcome = sync_from_node(&node, address, wants_all) => outcome,
+                };
                 if wants_all && outcome == SyncOutcome::Recent {
                     refresh_at_ms = started_at_ms + CANDIDATE_REFRESH_MS;
                 }
