Count members' failures and replies that do not fit their command

Nothing showed whether a reply belongs to the command that it is taken for, so the hypotheses about other callers' rows could not be told apart by logs. A matcher now checks each reply: a signature seen before on the connection, none where one is due, rows or a transaction state that the command does not lead to, a second failure. It logs member_reply_mismatched with the id and counts member_reply_mismatches; failures that members answer with are counted as member_failures. What callers get is the same as before.

--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -102,6 +102,16 @@
     },
 }
 
+impl MemberCommand {
+    /// Returns the caller's id of the statement, or `-` for a command of the node's own.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Begin { id, .. } | Self::Run { id, .. } | Self::Commit { id } => id,
+            _ => "-",
+        }
+    }
+}
+
 /// The complete reply of a member to one command.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberReply {
--- a/core/src/metrics.rs
+++ b/core/src/metrics.rs
@@ -21,6 +21,8 @@
     served: BTreeMap<(Name, Name), Histogram<u64>>,
     refused: BTreeMap<(Name, String), u64>,
     events: BTreeMap<&'static str, u64>,
+    member_failures: BTreeMap<&'static str, u64>,
+    reply_mismatches: BTreeMap<&'static str, u64>,
 }
 
 /// Counters and latencies of a node.
@@ -55,6 +57,16 @@
         self.increment("member_connections_opened");
     }
 
+    /// Counts a failure that a member replied with.
+    pub fn record_member_failure(&self, failure: Failure) {
+        *lock(&self.counts).member_failures.entry(failure.label()).or_default() += 1;
+    }
+
+    /// Counts a reply of a member that is not that of the command that waits for it, by reason.
+    pub fn record_mismatch(&self, reason: &'static str) {
+        *lock(&self.counts).reply_mismatches.entry(reason).or_default() += 1;
+    }
+
     /// Counts an event.
     pub fn increment(&self, event: &'static str) {
         self.add(event, 1);
@@ -85,6 +97,12 @@
                 "statements_refused{{tenant=\"{tenant}\",reason=\"{reason}\"}} {count}"
             );
         }
+        for (failure, count) in &counts.member_failures {
+            let _ = writeln!(text, "member_failures{{failure=\"{failure}\"}} {count}");
+        }
+        for (reason, count) in &counts.reply_mismatches {
+            let _ = writeln!(text, "member_reply_mismatches{{reason=\"{reason}\"}} {count}");
+        }
         for (event, count) in &counts.events {
             let _ = writeln!(text, "{event} {count}");
         }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -2,6 +2,7 @@
 
 pub mod connection;
 pub mod pool;
+pub mod reply_matcher;
 pub mod transaction_table;
 
 mod borrowed;
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -138,6 +138,16 @@
             () = tokio::time::sleep(wait) => Err(MemberError::Timeout),
             () = self.down.cancelled(), if may_abandon => Err(MemberError::Timeout),
         };
+        if let Ok(replies) = &replied {
+            for (command, reply) in commands.iter().zip(replies) {
+                if let Err(mismatch) = connection.matcher.check(command, reply) {
+                    self.service.report_mismatch(&self.member.key, command, mismatch);
+                }
+                if let Err(refusal) = &reply.result {
+                    self.service.context.metrics.record_member_failure(refusal.failure);
+                }
+            }
+        }
         let mut pool = lock(&self.service.pool);
         match replied {
             Ok(replies) => {
--- a/core/src/service/connection.rs
+++ b/core/src/service/connection.rs
@@ -6,6 +6,7 @@
 use crate::member::MemberCommand;
 use crate::member::MemberConnection;
 use crate::name::Name;
+use crate::service::reply_matcher::ReplyMatcher;
 use crate::statement::PreparedShape;
 
 /// Number of prepared statements at which a connection is reset before its next statement outside
@@ -22,6 +23,8 @@
 pub struct PooledConnection {
     /// Connection in the member's protocol.
     pub inner: Box<dyn MemberConnection>,
+    /// Relates replies to commands.
+    pub matcher: ReplyMatcher,
     tenant: Name,
     values: BTreeMap<Name, Name>,
     prepared: HashSet<PreparedShape>,
@@ -30,7 +33,13 @@
 impl PooledConnection {
     /// Wraps a new connection, which has no session state.
     pub fn new(inner: Box<dyn MemberConnection>, tenant: Name) -> Self {
-        Self { inner, tenant, values: BTreeMap::new(), prepared: HashSet::new() }
+        Self {
+            inner,
+            matcher: ReplyMatcher::default(),
+            tenant,
+            values: BTreeMap::new(),
+            prepared: HashSet::new(),
+        }
     }
 
     /// Returns the commands that set a session's values and prepare a statement on the connection.
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -27,6 +27,7 @@
 use crate::service::pool::SlotRequest;
 use crate::service::pool::SlotTarget;
 use crate::service::pool::WritePermit;
+use crate::service::reply_matcher::Mismatch;
 use crate::statement::Access;
 use crate::statement::DataStatement;
 use crate::statement::StatementBody;
@@ -434,6 +435,21 @@
         Ok(Answer { rows: reply.rows.clone(), signature, position: reply.position })
     }
 
+    /// Logs and counts a reply of a member that is not that of the command that waits for it.
+    pub(super) fn report_mismatch(
+        &self,
+        member: &MemberKey,
+        command: &MemberCommand,
+        mismatch: Mismatch,
+    ) {
+        self.context.metrics.record_mismatch(mismatch.label());
+        log::warn!(
+            event = "member_reply_mismatched", id = command.id(), service = &*self.name,
+            member = &*member.id, reason = mismatch.label();
+            "the member's reply is not that of the command that waits for it"
+        );
+    }
+
     pub(super) fn log_unknown_outcome(&self, id: &str, member: &MemberKey, error: &MemberError) {
         log::warn!(
             event = "outcome_unknown", id = id, service = &*self.name, member = &*member.id,
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -34,7 +34,7 @@
         let mut session = cluster.open(host, database);
         let id = format!("id-{host}");
         let answer = run(&mut session, &id, text).await.expect("served");
-        assert_eq!(&*answer.signature, "signature");
+        assert!(answer.signature.starts_with("signature-"), "{}", answer.signature);
         assert_eq!(cluster.execution_count(&id), 1);
     }
 }
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -61,6 +61,7 @@
     /// Hosts and members that do not reach each other.
     cuts: Mutex<HashSet<(String, SocketAddr)>>,
     connections: AtomicU64,
+    signatures: AtomicU64,
     /// Time until a promotion takes effect, in milliseconds.
     pub promotion_ms: AtomicU64,
     /// Whether orders to promote a member get no answer.
@@ -103,6 +104,7 @@
             promotions: Mutex::default(),
             cuts: Mutex::default(),
             connections: AtomicU64::new(0),
+            signatures: AtomicU64::new(0),
             promotion_ms: AtomicU64::new(0),
             are_orders_unanswered: AtomicBool::new(false),
             connect_ms: AtomicU64::new(0),
@@ -197,6 +199,11 @@
         self.with_member(id, |member| member.faults.push(fault));
     }
 
+    /// Returns a signature that no other reply has.
+    fn next_signature(&self) -> Name {
+        format!("signature-{}", self.signatures.fetch_add(1, Ordering::Relaxed)).into()
+    }
+
     /// Returns the ids and texts of the statements that a member executed.
     pub fn executed(&self, id: &str) -> Vec<String> {
         self.with_member(id, |member| member.executed.clone())
@@ -261,8 +268,10 @@
 }
 
 impl StandInConnection {
+    /// Returns a reply with one row, if the member signs it.
     fn reply(&self, result: Result<Name, Refusal>, position: LogPosition) -> MemberReply {
-        let rows = if result.is_ok() { vec!["row".into()] } else { Vec::new() };
+        let is_signed = result.as_ref().is_ok_and(|signature| &**signature != "-");
+        let rows = if is_signed { vec!["row".into()] } else { Vec::new() };
         MemberReply { rows, result, block: self.block, position: Some(position) }
     }
 
@@ -318,7 +327,8 @@
         command: &MemberCommand,
         state: &MemberState,
     ) -> Result<MemberReply, MemberError> {
-        let done: Result<Name, Refusal> = Ok("signature".into());
+        let signed = || Ok(self.group.next_signature());
+        let done: Result<Name, Refusal> = Ok("-".into());
         let read_only = || Err(Refusal::new(Failure::ReadOnly, "the member is a replica"));
         let lagging =
             |floor: &Option<LogPosition>| floor.is_some_and(|floor| state.position < floor);
@@ -352,14 +362,14 @@
                 self.writes += u64::from(is_write);
                 let commits = is_write && self.block == BlockState::Idle;
                 let position = if commits { self.commit() } else { state.position };
-                Ok(self.reply(done, position))
+                Ok(self.reply(signed(), position))
             }
             MemberCommand::Commit { id } => {
                 self.record_execution(format!("{id} COMMIT"));
                 self.block = BlockState::Idle;
                 let has_written = std::mem::take(&mut self.writes) > 0;
                 let position = if has_written { self.commit() } else { state.position };
-                Ok(self.reply(done, position))
+                Ok(self.reply(signed(), position))
             }
             MemberCommand::Rollback | MemberCommand::Reset => {
                 self.block = BlockState::Idle;
@@ -370,9 +380,12 @@
                 let mut members = self.group.members.lock().expect("the mutex is not poisoned");
                 members.get_mut(&self.address).expect("the member is known").1.is_primary = false;
                 drop(members);
-                Ok(self.reply(done, state.position))
+                Ok(MemberReply { rows: vec!["status".into()], ..self.reply(done, state.position) })
+            }
+            MemberCommand::Status => {
+                Ok(MemberReply { rows: vec!["status".into()], ..self.reply(done, state.position) })
             }
-            MemberCommand::Status | MemberCommand::Set { .. } | MemberCommand::Prepare(_) => {
+            MemberCommand::Set { .. } | MemberCommand::Prepare(_) => {
                 Ok(self.reply(done, state.position))
             }
         }
