Name prepared statements at members by number

Cause: the name of a prepared statement at a member was r_ or w_ and the shape as the caller wrote it. The shape is the last field of PREPARE and may contain blanks; a name ends at the first one. EXECUTE then ran the rest of the shape as its arguments, and PREPARE defined the name of another caller's shape. The class: text of a caller in a field that is not the last.

Change: a connection numbers its prepared statements; a number is not used again after a reset.

Ruled out: two tenants on one connection (connections are kept by tenant), and RESET between sessions (the repeat of a name needs none).

--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -11,7 +11,6 @@
 use crate::outcome::BlockState;
 use crate::outcome::Refusal;
 use crate::statement::PreparedShape;
-use crate::statement::StatementBody;
 
 /// Identity of one incarnation of a member, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -54,6 +53,25 @@
     pub position: LogPosition,
 }
 
+/// Number by which a connection tells its prepared statements apart. It stands for the statement's
+/// name at the member, which must not depend on a caller's text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PreparedNumber(pub u64);
+
+/// A data statement as a member runs it on one connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CommandBody {
+    /// The text that the caller sent.
+    Text(Name),
+    /// A statement that was prepared on the connection.
+    Execute {
+        /// Number of the prepared statement.
+        prepared: PreparedNumber,
+        /// Arguments as the caller sent them.
+        arguments: Name,
+    },
+}
+
 /// One command to a member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MemberCommand {
@@ -71,7 +89,7 @@
         /// Caller's id of the statement.
         id: Name,
         /// Statement to run.
-        body: StatementBody,
+        body: CommandBody,
         /// Position that the member's log must include.
         floor: Option<LogPosition>,
     },
@@ -89,8 +107,13 @@
         /// The value.
         value: Name,
     },
-    /// Prepares a statement under a name derived from its shape.
-    Prepare(PreparedShape),
+    /// Prepares a statement.
+    Prepare {
+        /// Number that no other prepared statement has had on the connection.
+        prepared: PreparedNumber,
+        /// Definition of the statement.
+        shape: PreparedShape,
+    },
     /// Discards session values and prepared statements.
     Reset,
     /// Requests the replication state of the member.
--- a/core/src/service/connection.rs
+++ b/core/src/service/connection.rs
@@ -1,13 +1,18 @@
 //! A pooled connection, with the session state that its member holds for it.
 
 use std::collections::BTreeMap;
-use std::collections::HashSet;
+use std::collections::HashMap;
 
+use crate::log_position::LogPosition;
+use crate::member::CommandBody;
 use crate::member::MemberCommand;
 use crate::member::MemberConnection;
+use crate::member::PreparedNumber;
 use crate::name::Name;
 use crate::service::reply_matcher::ReplyMatcher;
+use crate::statement::DataStatement;
 use crate::statement::PreparedShape;
+use crate::statement::StatementBody;
 
 /// Number of prepared statements at which a connection is reset before its next statement outside
 /// an open transaction. The reset drops them.
@@ -27,7 +32,9 @@
     pub matcher: ReplyMatcher,
     tenant: Name,
     values: BTreeMap<Name, Name>,
-    prepared: HashSet<PreparedShape>,
+    prepared: HashMap<PreparedShape, PreparedNumber>,
+    /// Number of the last prepared statement. A number is not used again after a reset.
+    last_prepared: u64,
 }
 
 impl PooledConnection {
@@ -38,17 +45,18 @@
             matcher: ReplyMatcher::default(),
             tenant,
             values: BTreeMap::new(),
-            prepared: HashSet::new(),
+            prepared: HashMap::new(),
+            last_prepared: 0,
         }
     }
 
-    /// Returns the commands that set a session's values and prepare a statement on the connection.
-    /// `may_reset` must be false in an open transaction, because a reset drops earlier values and
-    /// prepared statements.
+    /// Returns the commands that set a session's values on the connection and prepare the shape of
+    /// `statement`, if it has one. `may_reset` must be false in an open transaction, because a reset
+    /// drops earlier values and prepared statements.
     pub fn setup_commands(
         &mut self,
         values: &[(Name, Name)],
-        shape: Option<&PreparedShape>,
+        statement: Option<&DataStatement>,
         may_reset: bool,
     ) -> Vec<MemberCommand> {
         let mut commands = Vec::new();
@@ -65,13 +73,47 @@
                 commands.push(MemberCommand::Set { name: name.clone(), value: value.clone() });
             }
         }
-        if let Some(shape) = shape
-            && self.prepared.insert(shape.clone())
-        {
-            commands.push(MemberCommand::Prepare(shape.clone()));
+        if let Some(DataStatement { body: StatementBody::Execute { shape, .. }, .. }) = statement {
+            self.prepare(shape, &mut commands);
         }
         commands
     }
+
+    /// Returns the commands that set a session's values, prepare the statement's shape and run it.
+    pub fn statement_commands(
+        &mut self,
+        values: &[(Name, Name)],
+        statement: &DataStatement,
+        floor: Option<LogPosition>,
+        may_reset: bool,
+    ) -> Vec<MemberCommand> {
+        let mut commands = self.setup_commands(values, Some(statement), may_reset);
+        let body = match &statement.body {
+            StatementBody::Text(text) => CommandBody::Text(text.clone()),
+            StatementBody::Execute { shape, arguments } => CommandBody::Execute {
+                prepared: self.prepare(shape, &mut commands),
+                arguments: arguments.clone(),
+            },
+        };
+        commands.push(MemberCommand::Run { id: statement.id.clone(), body, floor });
+        commands
+    }
+
+    /// Returns the number of a shape, and adds the command that prepares it if it is not prepared.
+    fn prepare(
+        &mut self,
+        shape: &PreparedShape,
+        commands: &mut Vec<MemberCommand>,
+    ) -> PreparedNumber {
+        if let Some(prepared) = self.prepared.get(shape) {
+            return *prepared;
+        }
+        self.last_prepared += 1;
+        let prepared = PreparedNumber(self.last_prepared);
+        self.prepared.insert(shape.clone(), prepared);
+        commands.push(MemberCommand::Prepare { prepared, shape: shape.clone() });
+        prepared
+    }
 }
 
 impl Connection for PooledConnection {
--- a/core/src/service/reply_matcher.rs
+++ b/core/src/service/reply_matcher.rs
@@ -120,7 +120,7 @@
     ) -> Result<(), Mismatch> {
         let cannot_fail = matches!(
             command,
-            MemberCommand::Set { .. } | MemberCommand::Prepare(_) | MemberCommand::Reset
+            MemberCommand::Set { .. } | MemberCommand::Prepare { .. } | MemberCommand::Reset
         );
         if cannot_fail {
             return Err(Mismatch::Failure);
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -29,8 +29,6 @@
 use crate::service::pool::WritePermit;
 use crate::service::reply_matcher::Mismatch;
 use crate::statement::Access;
-use crate::statement::DataStatement;
-use crate::statement::StatementBody;
 use crate::sync::lock;
 
 /// Most attempts for one statement: each of three members once, and one of them again.
@@ -57,8 +55,6 @@
     pub(super) slot: SlotGuard,
     /// Permit for writes, if the member is the primary.
     pub(super) write_permit: Option<WritePermit>,
-    /// Commands that prepare the connection for the session.
-    pub(super) commands: Vec<MemberCommand>,
     /// Position that the member's log must include.
     pub(super) floor: Option<LogPosition>,
 }
@@ -238,7 +234,7 @@
                 }
             },
         };
-        let Some(mut borrowed) = grant.borrow(connection) else {
+        let Some(borrowed) = grant.borrow(connection) else {
             return AttemptOutcome::Final(refusal_reply(
                 Failure::Busy,
                 "the slot is not granted any more",
@@ -253,27 +249,12 @@
             let refusal = Refusal::new(Failure::Busy, "the primary of the service is changing");
             return AttemptOutcome::Retry { excluded: None, refusal };
         }
-        let shape = match &call.action {
-            CallAction::Run(DataStatement {
-                body: StatementBody::Execute { shape, .. }, ..
-            }) => Some(shape.clone()),
-            _ => None,
-        };
-        let commands = borrowed
-            .connection()
-            .map(|connection| connection.setup_commands(&call.values, shape.as_ref(), true))
-            .unwrap_or_default();
         // The log of the primary includes every acknowledged position.
         let floor = (write_permit.is_none() && floor != LogPosition::default()).then_some(floor);
+        let started = StartedAttempt { borrowed, slot, write_permit, floor };
         match &call.begin {
-            Some(begin) => {
-                let started = StartedAttempt { borrowed, slot, write_permit, commands, floor };
-                self.begin_transaction(timed, begin, started).await
-            }
-            None => {
-                let started = StartedAttempt { borrowed, slot, write_permit, commands, floor };
-                self.run_single(timed, started).await
-            }
+            Some(begin) => self.begin_transaction(timed, begin, started).await,
+            None => self.run_single(timed, started).await,
         }
     }
 
@@ -312,7 +293,7 @@
         timed: &TimedCall,
         started: StartedAttempt,
     ) -> AttemptOutcome {
-        let StartedAttempt { mut borrowed, slot, write_permit, mut commands, floor } = started;
+        let StartedAttempt { mut borrowed, slot, write_permit, floor } = started;
         let CallAction::Run(statement) = &timed.call.action else {
             borrowed.return_to_pool();
             return AttemptOutcome::Final(refusal_reply(
@@ -322,7 +303,11 @@
         };
         let id = statement.id.clone();
         let is_read = statement.access == Access::Read;
-        commands.push(MemberCommand::Run { id: id.clone(), body: statement.body.clone(), floor });
+        let values = &timed.call.values;
+        let commands = borrowed
+            .connection()
+            .map(|connection| connection.statement_commands(values, statement, floor, true))
+            .unwrap_or_default();
         let member = borrowed.member.key.clone();
         let exchanged = borrowed.exchange(&commands, timed.deadline_at_ms, is_read).await;
         drop(slot);
--- a/core/src/service/transactions.rs
+++ b/core/src/service/transactions.rs
@@ -28,7 +28,6 @@
 use crate::service::runner::last_reply;
 use crate::service::runner::refusal_reply;
 use crate::statement::Access;
-use crate::statement::StatementBody;
 use crate::transaction_id::TransactionId;
 
 /// Reason given for a transaction that wrote at a primary that is being replaced.
@@ -43,9 +42,18 @@
         begin: &BeginTransaction,
         started: StartedAttempt,
     ) -> AttemptOutcome {
-        let StartedAttempt { mut borrowed, slot, write_permit, mut commands, floor } = started;
+        let StartedAttempt { mut borrowed, slot, write_permit, floor } = started;
         let member = borrowed.member.key.clone();
         let is_read_only = begin.is_read_only;
+        let statement = match &timed.call.action {
+            CallAction::Run(statement) => Some(statement),
+            CallAction::Commit { .. } | CallAction::Rollback => None,
+        };
+        let values = &timed.call.values;
+        let mut commands = borrowed
+            .connection()
+            .map(|connection| connection.setup_commands(values, statement, true))
+            .unwrap_or_default();
         commands.push(MemberCommand::Begin { id: begin.id.clone(), is_read_only, floor });
         let exchanged = borrowed.exchange(&commands, timed.deadline_at_ms, true).await;
         let begin_reply = match last_reply(exchanged, &commands) {
@@ -242,21 +250,11 @@
 }
 
 fn action_commands(timed: &TimedCall, transaction: &mut MemberTransaction) -> Vec<MemberCommand> {
-    let mut commands = Vec::new();
+    let Some(connection) = transaction.borrowed.connection() else { return Vec::new() };
+    let values = &timed.call.values;
     match &timed.call.action {
-        CallAction::Run(statement) => {
-            let shape = match &statement.body {
-                StatementBody::Execute { shape, .. } => Some(shape),
-                StatementBody::Text(_) => None,
-            };
-            if let Some(connection) = transaction.borrowed.connection() {
-                commands = connection.setup_commands(&timed.call.values, shape, false);
-            }
-            let id = statement.id.clone();
-            commands.push(MemberCommand::Run { id, body: statement.body.clone(), floor: None });
-        }
-        CallAction::Commit { id } => commands.push(MemberCommand::Commit { id: id.clone() }),
-        CallAction::Rollback => commands.push(MemberCommand::Rollback),
+        CallAction::Run(statement) => connection.statement_commands(values, statement, None, false),
+        CallAction::Commit { id } => vec![MemberCommand::Commit { id: id.clone() }],
+        CallAction::Rollback => vec![MemberCommand::Rollback],
     }
-    commands
 }
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -16,6 +16,7 @@
 mod rates;
 mod relay_formats;
 mod session_rules;
+mod session_setup;
 mod soak;
 mod stand_in;
 mod stand_in_store;
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -13,6 +13,7 @@
 use async_trait::async_trait;
 
 use snipehead_core::log_position::LogPosition;
+use snipehead_core::member::CommandBody;
 use snipehead_core::member::MemberCommand;
 use snipehead_core::member::MemberConnection;
 use snipehead_core::member::MemberConnector;
@@ -27,7 +28,6 @@
 use snipehead_core::outcome::BlockState;
 use snipehead_core::outcome::Failure;
 use snipehead_core::outcome::Refusal;
-use snipehead_core::statement::StatementBody;
 
 /// Fault that is injected into the next data statement or commit that reaches a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -346,7 +346,7 @@
                 Ok(self.reply(done, state.position))
             }
             MemberCommand::Run { id, body, floor } => {
-                let StatementBody::Text(text) = body else {
+                let CommandBody::Text(text) = body else {
                     return Err(MemberError::Protocol(
                         "the stand-in runs only statements given as text".to_owned(),
                     ));
@@ -385,7 +385,7 @@
             MemberCommand::Status => {
                 Ok(MemberReply { rows: vec!["status".into()], ..self.reply(done, state.position) })
             }
-            MemberCommand::Set { .. } | MemberCommand::Prepare(_) => {
+            MemberCommand::Set { .. } | MemberCommand::Prepare { .. } => {
                 Ok(self.reply(done, state.position))
             }
         }
