Apply session values before a COMMIT

Values were set before data statements only.

session_state::a_value_set_in_a_transaction_is_set_at_the_member_before_the_commit failed before ('the value is set at the member') and passes. A COMMIT without such a value sends the same lines as before. Ruled out: ROLLBACK, which keeps nothing.

--- a/core/src/service/transactions.rs
+++ b/core/src/service/transactions.rs
@@ -254,7 +254,11 @@
     let values = &timed.call.values;
     match &timed.call.action {
         CallAction::Run(statement) => connection.statement_commands(values, statement, None, false),
-        CallAction::Commit { id } => vec![MemberCommand::Commit { id: id.clone() }],
+        CallAction::Commit { id } => {
+            let mut commands = connection.setup_commands(values, None, false);
+            commands.push(MemberCommand::Commit { id: id.clone() });
+            commands
+        }
         CallAction::Rollback => vec![MemberCommand::Rollback],
     }
 }
