Match each reply of a member to its command

Callers saw (MIXED on the users' own machines, 111 cases): FETCH got other rows than the member had sent. Cause: replies carry no id and were taken by order alone. A member that sends a reply twice, the second time late, shifted all later ones, through the pool and for other tenants. Idle pooled connections were checked before use; those of open transactions and of probes were not, and none while a reply was due. READY without COMPLETE, and COMPLETE without a signature, passed as success. The class: an answer accepted without proof that it is this request's.

Change: a reply to a statement or COMMIT needs a signature that the connection has not seen; a repeat that is recognized is skipped, so that the statement gets its own reply, and the connection is closed when it becomes idle. Anything else that does not fit (rows, transaction state, a second failure on one connection, input while no command waits) closes it at once; a read is repeated elsewhere, a write is in doubt. A status is followed by a second command, whose reply tells a repeated status from the present one. A mismatch no longer makes the member suspected: it is alive.

Ruled out: closing each connection at its first failure (the first cannot be a repeat), and closing it at a recognized repeat while a statement waits (a write would be in doubt although its reply follows).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -35,6 +35,7 @@
 mod rate_admission;
 mod rebalancer;
 pub mod relay;
+pub mod reply_matcher;
 pub mod service;
 pub mod session;
 pub mod session_positions;
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -10,6 +10,7 @@
 use crate::name::Name;
 use crate::outcome::BlockState;
 use crate::outcome::Refusal;
+use crate::reply_matcher::Mismatch;
 use crate::statement::PreparedShape;
 
 /// Identity of one incarnation of a member, from its start to its end.
@@ -159,6 +160,8 @@
     Refused(Refusal),
     /// The member sent data that cannot be decoded.
     Protocol(String),
+    /// The member sent a reply that is not that of the command that waits for one.
+    Mismatched(Mismatch),
 }
 
 impl std::fmt::Display for MemberError {
@@ -170,6 +173,9 @@
                 write!(formatter, "refused: {} {}", refusal.failure.label(), refusal.detail)
             }
             Self::Protocol(reason) => write!(formatter, "unreadable answer: {reason}"),
+            Self::Mismatched(mismatch) => {
+                write!(formatter, "reply of another command: {}", mismatch.label())
+            }
         }
     }
 }
@@ -189,22 +195,37 @@
     ) -> Result<Box<dyn MemberConnection>, MemberError>;
 }
 
-/// A connection to a member.
+/// What an idle connection shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleState {
+    /// Nothing has arrived.
+    Quiet,
+    /// Something has arrived, though no command waits for a reply.
+    HasInput,
+    /// The connection has ended.
+    Closed,
+}
+
+/// A connection to a member. It must not be used again after an error, or if a call is dropped before
+/// it completes.
 #[async_trait]
 pub trait MemberConnection: Send {
-    /// Sends all commands in one batch and reads the replies in order. The connection must not be
-    /// used again after an error, or if the call is dropped before it completes.
+    /// Sends all commands in one batch.
     ///
     /// # Errors
     ///
-    /// Returns an error when not all replies were received.
-    async fn exchange(
-        &mut self,
-        commands: &[MemberCommand],
-    ) -> Result<Vec<MemberReply>, MemberError>;
-
-    /// Returns whether the member has closed the idle connection.
-    fn is_closed(&mut self) -> bool;
+    /// Returns an error when not all commands were sent.
+    async fn send(&mut self, commands: &[MemberCommand]) -> Result<(), MemberError>;
+
+    /// Receives the next reply, whichever command it belongs to.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no whole reply was received.
+    async fn receive(&mut self) -> Result<MemberReply, MemberError>;
+
+    /// Returns what a connection shows on which no command waits for a reply.
+    fn idle_state(&mut self) -> IdleState;
 
     /// Decodes the replication state from the reply to a status command.
     fn decode_status(&self, reply: &MemberReply) -> Option<MemberStatus>;
--- a/core/src/service/reply_matcher.rs
+++ b/core/src/reply_matcher.rs
@@ -3,8 +3,8 @@
 //! Replies carry no id, so the order alone relates them to commands, and a member may send a reply a
 //! second time, late. What a member signs is proof: each signature is given out once. Replies to the
 //! node's own commands and failures are not signed. A repeat of the former surfaces when the next
-//! signed reply is due; a failure is trusted only if it is the first one on its connection, because
-//! it cannot be the repeat of another one then.
+//! signed reply is due, as an unsigned one; a failure is trusted only if it is the first one on its
+//! connection, because it cannot be the repeat of another one then.
 
 use std::collections::HashSet;
 
@@ -20,10 +20,8 @@
 /// Why a reply is not that of the command that waits for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mismatch {
-    /// It repeats the reply to an earlier command.
+    /// It repeats the reply to an earlier command, or follows such a repeat.
     Repeated,
-    /// It lacks a signature, though the command's reply is signed.
-    Unsigned,
     /// It is signed, though the command's reply is not.
     Signed,
     /// It has rows that the command does not return, or lacks those that it does.
@@ -34,6 +32,8 @@
     SecondFailure,
     /// It is the failure of a command that cannot fail.
     Failure,
+    /// It arrived while no command waited for a reply.
+    Unasked,
 }
 
 impl Mismatch {
@@ -41,12 +41,12 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Repeated => "repeated",
-            Self::Unsigned => "unsigned",
             Self::Signed => "signed",
             Self::Rows => "rows",
             Self::State => "state",
             Self::SecondFailure => "second_failure",
             Self::Failure => "failure",
+            Self::Unasked => "unasked",
         }
     }
 }
@@ -57,18 +57,13 @@
     /// Digests of all signatures so far.
     signatures: HashSet<u64>,
     has_failed: bool,
-    has_repeated: bool,
+    repeats: u64,
     block: BlockState,
 }
 
 impl Default for ReplyMatcher {
     fn default() -> Self {
-        Self {
-            signatures: HashSet::new(),
-            has_failed: false,
-            has_repeated: false,
-            block: BlockState::Idle,
-        }
+        Self { signatures: HashSet::new(), has_failed: false, repeats: 0, block: BlockState::Idle }
     }
 }
 
@@ -87,11 +82,16 @@
         };
         match (&**signature != UNSIGNED, is_signed) {
             (true, _) if self.signatures.contains(&xxh3_64(signature.as_bytes())) => {
-                self.has_repeated = true;
+                self.repeats += 1;
                 return Err(Mismatch::Repeated);
             }
             (true, false) => return Err(Mismatch::Signed),
-            (false, true) => return Err(Mismatch::Unsigned),
+            (false, true) => {
+                // Another unsigned reply came twice, and a failure may be that of an earlier command.
+                self.has_failed = true;
+                self.repeats += 1;
+                return Err(Mismatch::Repeated);
+            }
             _ => {}
         }
         let returns_row = matches!(command, MemberCommand::Status | MemberCommand::StepDown { .. });
@@ -137,8 +137,8 @@
         self.signatures.len()
     }
 
-    /// Returns whether the member has repeated a reply on this connection.
-    pub fn has_repeated(&self) -> bool {
-        self.has_repeated
+    /// Returns the number of replies that the member has repeated.
+    pub fn repeats(&self) -> u64 {
+        self.repeats
     }
 }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -1,11 +1,12 @@
 //! A service that this node owns: connection pool, open transactions and choice of primary.
 
 pub mod connection;
+pub mod matched_connection;
 pub mod pool;
-pub mod reply_matcher;
 pub mod transaction_table;
 
 mod borrowed;
+mod exchange;
 mod idle_transactions;
 mod monitor;
 mod probe;
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -134,20 +134,12 @@
         let wait = Duration::from_millis(deadline_at_ms.saturating_sub(now_ms()));
         let replied = tokio::select! {
             biased;
-            replied = connection.inner.exchange(commands) => replied,
+            replied = self.service.exchange(&self.member.key, &mut connection.inner, commands) => {
+                replied
+            }
             () = tokio::time::sleep(wait) => Err(MemberError::Timeout),
             () = self.down.cancelled(), if may_abandon => Err(MemberError::Timeout),
         };
-        if let Ok(replies) = &replied {
-            for (command, reply) in commands.iter().zip(replies) {
-                if let Err(mismatch) = connection.matcher.check(command, reply) {
-                    self.service.report_mismatch(&self.member.key, command, mismatch);
-                }
-                if let Err(refusal) = &reply.result {
-                    self.service.context.metrics.record_member_failure(refusal.failure);
-                }
-            }
-        }
         let mut pool = lock(&self.service.pool);
         match replied {
             Ok(replies) => {
@@ -159,15 +151,17 @@
                 self.connection = None;
                 pool.connection_closed(&self.member.key);
                 drop(pool);
-                self.service.suspect_member(&self.member.key, &error.to_string());
+                if !matches!(error, MemberError::Mismatched(_)) {
+                    self.service.suspect_member(&self.member.key, &error.to_string());
+                }
                 Err(error)
             }
         }
     }
 
-    /// Returns the connection to the pool.
+    /// Returns the connection to the pool, or closes it if it may not be used again.
     pub(super) fn return_to_pool(mut self) {
-        if let Some(connection) = self.connection.take() {
+        if let Some(connection) = self.connection.take_if(|kept| kept.inner.is_reusable()) {
             let surplus = lock(&self.service.pool).return_connection(&self.member.key, connection);
             drop(surplus);
             self.service.dispatch();
--- a/core/src/service/connection.rs
+++ b/core/src/service/connection.rs
@@ -9,7 +9,7 @@
 use crate::member::MemberConnection;
 use crate::member::PreparedNumber;
 use crate::name::Name;
-use crate::service::reply_matcher::ReplyMatcher;
+use crate::service::matched_connection::MatchedConnection;
 use crate::statement::DataStatement;
 use crate::statement::PreparedShape;
 use crate::statement::StatementBody;
@@ -26,10 +26,8 @@
 
 /// A connection to a member, with the session values and prepared statements set on it.
 pub struct PooledConnection {
-    /// Connection in the member's protocol.
-    pub inner: Box<dyn MemberConnection>,
-    /// Relates replies to commands.
-    pub matcher: ReplyMatcher,
+    /// Connection on which commands are sent.
+    pub inner: MatchedConnection,
     tenant: Name,
     values: BTreeMap<Name, Name>,
     prepared: HashMap<PreparedShape, PreparedNumber>,
@@ -41,8 +39,7 @@
     /// Wraps a new connection, which has no session state.
     pub fn new(inner: Box<dyn MemberConnection>, tenant: Name) -> Self {
         Self {
-            inner,
-            matcher: ReplyMatcher::default(),
+            inner: MatchedConnection::new(inner),
             tenant,
             values: BTreeMap::new(),
             prepared: HashMap::new(),
--- /dev/null
+++ b/core/src/service/exchange.rs
@@ -0,0 +1,50 @@
+//! Exchanges commands and replies with members, and reports replies that do not fit.
+
+use crate::member::MemberCommand;
+use crate::member::MemberError;
+use crate::member::MemberKey;
+use crate::member::MemberReply;
+use crate::reply_matcher::Mismatch;
+use crate::service::OwnedService;
+use crate::service::matched_connection::MatchedConnection;
+
+impl OwnedService {
+    /// Sends commands to a member and returns their replies in order.
+    ///
+    /// # Errors
+    ///
+    /// See [`MatchedConnection::exchange`].
+    pub(super) async fn exchange(
+        &self,
+        member: &MemberKey,
+        connection: &mut MatchedConnection,
+        commands: &[MemberCommand],
+    ) -> Result<Vec<MemberReply>, MemberError> {
+        let repeats = connection.repeats();
+        let replied = connection.exchange(commands).await;
+        let id = commands.last().map_or("-", MemberCommand::id);
+        if connection.repeats() > repeats {
+            self.report_mismatch(member, id, Mismatch::Repeated);
+        }
+        match &replied {
+            Ok(replies) => {
+                for refusal in replies.iter().filter_map(|reply| reply.result.as_ref().err()) {
+                    self.context.metrics.record_member_failure(refusal.failure);
+                }
+            }
+            Err(MemberError::Mismatched(mismatch)) => self.report_mismatch(member, id, *mismatch),
+            Err(_) => {}
+        }
+        replied
+    }
+
+    /// Logs and counts a reply of a member that is not that of the command that waits for one. `id` is
+    /// that of the statement which noticed it.
+    pub(super) fn report_mismatch(&self, member: &MemberKey, id: &str, mismatch: Mismatch) {
+        self.context.metrics.record_mismatch(mismatch.label());
+        log::warn!(
+            event = "member_reply_mismatched", id = id, service = &*self.name,
+            member = &*member.id, reason = mismatch.label(); ""
+        );
+    }
+}
--- a/core/src/service/probe.rs
+++ b/core/src/service/probe.rs
@@ -6,14 +6,15 @@
 use futures::future::join_all;
 
 use crate::clock::now_ms;
+use crate::member::IdleState;
 use crate::member::MemberCommand;
-use crate::member::MemberConnection;
 use crate::member::MemberEntry;
 use crate::member::MemberError;
 use crate::member::MemberKey;
 use crate::member::MemberStatus;
 use crate::outcome::Failure;
 use crate::service::OwnedService;
+use crate::service::matched_connection::MatchedConnection;
 use crate::sync::lock;
 
 /// Longest wait for the reply to a probe: several times the duration of a statement.
@@ -25,7 +26,7 @@
 /// Connections that are kept open for probes, one per member.
 #[derive(Default)]
 pub(super) struct ProbeConnections {
-    by_member: HashMap<MemberKey, Box<dyn MemberConnection>>,
+    by_member: HashMap<MemberKey, MatchedConnection>,
 }
 
 /// Result of a probe.
@@ -63,19 +64,22 @@
     /// Probes a member on its open connection. If there is none or that fails, it opens a new one.
     async fn probe_one(
         &self,
-        connection: Option<Box<dyn MemberConnection>>,
+        connection: Option<MatchedConnection>,
         member: MemberEntry,
-    ) -> (MemberEntry, Option<Box<dyn MemberConnection>>, ProbeResult) {
-        if let Some(mut connection) = connection {
-            let answered =
-                tokio::time::timeout(PROBE_TIMEOUT, request_status(&mut connection)).await;
+    ) -> (MemberEntry, Option<MatchedConnection>, ProbeResult) {
+        if let Some(mut connection) = connection
+            && connection.idle_state() == IdleState::Quiet
+        {
+            let requesting = self.request_status(&member.key, &mut connection);
+            let answered = tokio::time::timeout(PROBE_TIMEOUT, requesting).await;
             if let Ok(Ok(result)) = answered {
                 return (member, Some(connection), result);
             }
         }
         let probing = async {
-            let mut connection = self.context.connector.connect(&member, SYSTEM_TENANT).await?;
-            let result = request_status(&mut connection).await?;
+            let connected = self.context.connector.connect(&member, SYSTEM_TENANT).await?;
+            let mut connection = MatchedConnection::new(connected);
+            let result = self.request_status(&member.key, &mut connection).await?;
             Ok((connection, result))
         };
         match tokio::time::timeout(PROBE_TIMEOUT, probing).await {
@@ -125,20 +129,25 @@
             );
         }
     }
-}
 
-async fn request_status(
-    connection: &mut Box<dyn MemberConnection>,
-) -> Result<ProbeResult, MemberError> {
-    let replies = connection.exchange(&[MemberCommand::Status]).await?;
-    let Some(reply) = replies.first() else {
-        return Err(MemberError::Protocol("no reply to the status command".to_owned()));
-    };
-    match &reply.result {
-        Err(_) => Ok(ProbeResult::Busy),
-        Ok(_) => match connection.decode_status(reply) {
-            Some(status) => Ok(ProbeResult::Reported(status)),
-            None => Err(MemberError::Protocol("malformed replication status".to_owned())),
-        },
+    async fn request_status(
+        &self,
+        member: &MemberKey,
+        connection: &mut MatchedConnection,
+    ) -> Result<ProbeResult, MemberError> {
+        // A repeat of an earlier status would pass for the present one. The second command tells them
+        // apart: its reply is a status then.
+        let commands = [MemberCommand::Status, MemberCommand::Reset];
+        let replies = self.exchange(member, connection, &commands).await?;
+        let Some(reply) = replies.first() else {
+            return Err(MemberError::Protocol("no reply to the status command".to_owned()));
+        };
+        match &reply.result {
+            Err(_) => Ok(ProbeResult::Busy),
+            Ok(_) => match connection.decode_status(reply) {
+                Some(status) => Ok(ProbeResult::Reported(status)),
+                None => Err(MemberError::Protocol("malformed replication status".to_owned())),
+            },
+        }
     }
 }
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -11,6 +11,7 @@
 use crate::member::MemberKey;
 use crate::member::PromotionError;
 use crate::service::OwnedService;
+use crate::service::matched_connection::MatchedConnection;
 use crate::service::monitor::MONITOR_INTERVAL;
 use crate::service::monitor::URGENT_INTERVAL;
 use crate::service::probe::ProbeConnections;
@@ -421,8 +422,9 @@
 
     async fn demote_former_primary(self: Arc<Self>, former: MemberEntry, term: u64) {
         let sending = async {
-            let mut connection = self.context.connector.connect(&former, SYSTEM_TENANT).await?;
-            connection.exchange(&[MemberCommand::StepDown { term }]).await
+            let connected = self.context.connector.connect(&former, SYSTEM_TENANT).await?;
+            let mut connection = MatchedConnection::new(connected);
+            self.exchange(&former.key, &mut connection, &[MemberCommand::StepDown { term }]).await
         };
         let sent = tokio::time::timeout(Duration::from_millis(500), sending).await;
         let result = match sent {
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::now_ms;
 use crate::log_position::LogPosition;
+use crate::member::IdleState;
 use crate::member::MemberCommand;
 use crate::member::MemberError;
 use crate::member::MemberKey;
@@ -19,6 +20,7 @@
 use crate::relay::CallAction;
 use crate::relay::CallReply;
 use crate::relay::ReadRequirement;
+use crate::reply_matcher::Mismatch;
 use crate::service::AcquiredSlot;
 use crate::service::OwnedService;
 use crate::service::borrowed::BorrowedConnection;
@@ -27,7 +29,6 @@
 use crate::service::pool::SlotRequest;
 use crate::service::pool::SlotTarget;
 use crate::service::pool::WritePermit;
-use crate::service::reply_matcher::Mismatch;
 use crate::statement::Access;
 use crate::sync::lock;
 
@@ -217,9 +218,16 @@
         let member = granted.member.clone();
         let mut connection = granted.connection.take();
         // A write on a connection that the member has closed would have an unknown outcome.
-        if connection.as_mut().is_some_and(|connection| connection.inner.is_closed()) {
-            connection = None;
-            self.suspect_member(&member.key, "the member closed an idle connection");
+        match connection.as_mut().map(|connection| connection.inner.idle_state()) {
+            None | Some(IdleState::Quiet) => {}
+            Some(IdleState::HasInput) => {
+                connection = None;
+                self.report_mismatch(&member.key, call.action.id(), Mismatch::Unasked);
+            }
+            Some(IdleState::Closed) => {
+                connection = None;
+                self.suspect_member(&member.key, "the member closed an idle connection");
+            }
         }
         let connection = match connection {
             Some(connection) => connection,
@@ -420,21 +428,6 @@
         Ok(Answer { rows: reply.rows.clone(), signature, position: reply.position })
     }
 
-    /// Logs and counts a reply of a member that is not that of the command that waits for it.
-    pub(super) fn report_mismatch(
-        &self,
-        member: &MemberKey,
-        command: &MemberCommand,
-        mismatch: Mismatch,
-    ) {
-        self.context.metrics.record_mismatch(mismatch.label());
-        log::warn!(
-            event = "member_reply_mismatched", id = command.id(), service = &*self.name,
-            member = &*member.id, reason = mismatch.label();
-            "the member's reply is not that of the command that waits for it"
-        );
-    }
-
     pub(super) fn log_unknown_outcome(&self, id: &str, member: &MemberKey, error: &MemberError) {
         log::warn!(
             event = "outcome_unknown", id = id, service = &*self.name, member = &*member.id,
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -15,6 +15,7 @@
 mod primaries;
 mod rates;
 mod relay_formats;
+mod reply_matching;
 mod session_rules;
 mod session_setup;
 mod soak;
--- a/core/tests/core/session_setup.rs
+++ b/core/tests/core/session_setup.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 
 use snipehead_core::member::CommandBody;
+use snipehead_core::member::IdleState;
 use snipehead_core::member::MemberCommand;
 use snipehead_core::member::MemberConnection;
 use snipehead_core::member::MemberError;
@@ -25,12 +26,16 @@
 
 #[async_trait]
 impl MemberConnection for NoConnection {
-    async fn exchange(&mut self, _: &[MemberCommand]) -> Result<Vec<MemberReply>, MemberError> {
+    async fn send(&mut self, _: &[MemberCommand]) -> Result<(), MemberError> {
         Err(MemberError::Timeout)
     }
 
-    fn is_closed(&mut self) -> bool {
-        true
+    async fn receive(&mut self) -> Result<MemberReply, MemberError> {
+        Err(MemberError::Timeout)
+    }
+
+    fn idle_state(&mut self) -> IdleState {
+        IdleState::Closed
     }
 
     fn decode_status(&self, _: &MemberReply) -> Option<MemberStatus> {
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -14,6 +15,7 @@
 
 use snipehead_core::log_position::LogPosition;
 use snipehead_core::member::CommandBody;
+use snipehead_core::member::IdleState;
 use snipehead_core::member::MemberCommand;
 use snipehead_core::member::MemberConnection;
 use snipehead_core::member::MemberConnector;
@@ -253,6 +255,7 @@
             block: BlockState::Idle,
             writes: 0,
             incarnation: state.incarnation,
+            replies: VecDeque::new(),
         };
         Ok(Box::new(connection))
     }
@@ -265,6 +268,8 @@
     block: BlockState,
     writes: u64,
     incarnation: u64,
+    /// Replies that were not received yet.
+    replies: VecDeque<MemberReply>,
 }
 
 impl StandInConnection {
@@ -394,10 +399,7 @@
 
 #[async_trait]
 impl MemberConnection for StandInConnection {
-    async fn exchange(
-        &mut self,
-        commands: &[MemberCommand],
-    ) -> Result<Vec<MemberReply>, MemberError> {
+    async fn send(&mut self, commands: &[MemberCommand]) -> Result<(), MemberError> {
         let latency_ms = {
             let members = self.group.members.lock().expect("the mutex is not poisoned");
             members[&self.address].1.latency_ms
@@ -406,12 +408,23 @@
         if self.group.is_cut(&self.host, self.address) {
             return Err(MemberError::Timeout);
         }
-        commands.iter().map(|command| self.handle(command)).collect()
+        for command in commands {
+            let reply = self.handle(command)?;
+            self.replies.push_back(reply);
+        }
+        Ok(())
     }
 
-    fn is_closed(&mut self) -> bool {
+    async fn receive(&mut self) -> Result<MemberReply, MemberError> {
+        self.replies.pop_front().ok_or(MemberError::Timeout)
+    }
+
+    fn idle_state(&mut self) -> IdleState {
         let members = self.group.members.lock().expect("the mutex is not poisoned");
-        self.incarnation != members[&self.address].1.incarnation
+        match self.incarnation == members[&self.address].1.incarnation {
+            true => IdleState::Quiet,
+            false => IdleState::Closed,
+        }
     }
 
     fn decode_status(&self, reply: &MemberReply) -> Option<MemberStatus> {
