Fail the transaction with each statement that is refused within it

Cause: a statement that did not parse never reached the session, and a second BEGIN, an unknown name in DEALLOC and a session with too many names were refused without a change of state. The transaction stayed open, and a COMMIT that was already on its way committed it without the refused statement. Invalid statements were neither counted nor logged.

Change: the session fails the open transaction on every refusal, also of statements that do not parse, and rolls it back at the member. A transaction that the node had rolled back is still reported as aborted once.

Ruled out: failing the session, since the state E tells the caller all it needs.

--- a/core/src/session.rs
+++ b/core/src/session.rs
@@ -141,17 +141,29 @@
         }
     }
 
-    /// Runs a statement. Failures are counted and logged.
+    /// Runs a statement. A failure fails the open transaction, and is counted and logged.
     pub async fn execute(&mut self, statement: &Statement) -> StatementResult {
         let started_at_ms = now_ms();
         let result = self.execute_kind(statement, started_at_ms).await;
         if let Err(refusal) = &result {
-            self.record_failure(statement, refusal, started_at_ms);
+            self.fail_block();
+            self.record_failure(&statement.id, refusal, started_at_ms);
         }
         result
     }
 
-    fn record_failure(&self, statement: &Statement, refusal: &Refusal, started_at_ms: u64) {
+    /// Refuses a statement that is not valid, which fails the open transaction.
+    pub fn refuse_invalid(&mut self, id: &str) -> Refusal {
+        let refusal = match self.check_block() {
+            Ok(()) => Refusal::new(Failure::Malformed, "the statement is not valid"),
+            Err(refusal) => refusal,
+        };
+        self.fail_block();
+        self.record_failure(id, &refusal, now_ms());
+        refusal
+    }
+
+    fn record_failure(&self, id: &str, refusal: &Refusal, started_at_ms: u64) {
         let configuration = self.node.configuration.known();
         let tenant = configuration.as_ref().and_then(|known| {
             known.configuration.tenants_by_key.get(&self.credential).map(|t| t.name.clone())
@@ -164,7 +176,7 @@
         let owner = self.node.owner_directory.owner(&service);
         self.node.metrics.record_failed(&tenant, refusal.failure);
         log::info!(
-            event = "statement_failed", id = &*statement.id, database = &*self.database,
+            event = "statement_failed", id = id, database = &*self.database,
             service = &*service, owner = owner.map_or("-".into(), |owner| owner.node),
             tenant = &*tenant, code = refusal.failure.label(), reason = &*refusal.detail,
             configuration = configuration.map_or(0, |known| known.configuration.version),
@@ -173,18 +185,8 @@
     }
 
     async fn execute_kind(&mut self, statement: &Statement, started_at_ms: u64) -> StatementResult {
-        let ends_block = matches!(statement.kind, StatementKind::Commit | StatementKind::Rollback);
-        if let TransactionBlock::Aborted { reason } = self.block {
-            self.block = TransactionBlock::Failed;
-            if !ends_block {
-                return Err(Refusal::new(Failure::Aborted, reason));
-            }
-        }
-        if matches!(self.block, TransactionBlock::Failed) && !ends_block {
-            return Err(Refusal::new(
-                Failure::Malformed,
-                "the transaction has failed; roll it back",
-            ));
+        if !matches!(statement.kind, StatementKind::Commit | StatementKind::Rollback) {
+            self.check_block()?;
         }
         match &statement.kind {
             StatementKind::Set { name, value } => {
@@ -212,7 +214,6 @@
             }
             StatementKind::Execute { name, arguments } => {
                 let Some(shape) = self.prepared.get(name).cloned() else {
-                    self.fail_block();
                     let detail = "no such prepared statement";
                     return Err(Refusal::new(Failure::UnknownPrepared, detail));
                 };
@@ -224,6 +225,21 @@
         }
     }
 
+    /// Refuses statements other than the end of a transaction that was rolled back.
+    fn check_block(&mut self) -> Result<(), Refusal> {
+        match self.block {
+            TransactionBlock::Aborted { reason } => {
+                self.block = TransactionBlock::Failed;
+                Err(Refusal::new(Failure::Aborted, reason))
+            }
+            TransactionBlock::Failed => {
+                let detail = "the transaction has failed; roll it back";
+                Err(Refusal::new(Failure::Malformed, detail))
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn check_name_limit(&self, used: usize) -> Result<(), Refusal> {
         match used < MAX_SESSION_NAMES {
             true => Ok(()),
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -20,6 +20,8 @@
 use snipehead_core::outcome::Failure;
 use snipehead_core::ownership;
 use snipehead_core::relay::MetadataRequest;
+use snipehead_core::statement::Statement;
+use snipehead_core::statement::StatementKind;
 
 #[rstest]
 #[case::reads("FETCH a", "bookings")]
@@ -243,6 +245,31 @@
     assert_eq!(cluster.execution_count("c1"), 0);
 }
 
+/// Guards against the commit of a transaction after an error: a statement that the session itself
+/// refused left the transaction open.
+#[rstest]
+#[case::begin(StatementKind::Begin { is_read_only: false })]
+#[case::deallocate(StatementKind::Deallocate { name: "s1".into() })]
+#[case::execute(StatementKind::Execute { name: "s1".into(), arguments: "a".into() })]
+#[tokio::test]
+async fn a_refused_statement_fails_the_transaction(#[case] kind: StatementKind) {
+    let cluster = TestCluster::start(1).await;
+    let mut session = cluster.open(0, "bookings");
+    for number in 0..2 {
+        run(&mut session, &format!("b{number}"), "BEGIN").await.expect("begun");
+        if number == 1 {
+            run(&mut session, "w1", "STORE a 1").await.expect("written");
+        }
+        let refused = Statement { id: "x1".into(), text: "refused".into(), kind: kind.clone() };
+        assert!(session.execute(&refused).await.is_err());
+        assert_eq!(session.block_state(), BlockState::Failed);
+        assert_eq!(failure(&mut session, "r1", "FETCH a").await, Some(Failure::Malformed));
+        assert_eq!(failure(&mut session, "c1", "COMMIT").await, Some(Failure::Aborted));
+        assert_eq!(session.block_state(), BlockState::Idle);
+    }
+    assert_eq!(cluster.execution_count("c1"), 0);
+}
+
 #[tokio::test]
 async fn a_session_reads_its_own_write_although_replicas_lag() {
     let cluster = TestCluster::start(2).await;
