Write no name to members that ends a field of a line

Cause: ids and services of members' entries and names of tenants come from other writers. A blank, CR, LF or NUL in one of them ended its field in STARTUP, and the rest of the name became the next field; an empty name let the next field take its place.

The key of a tenant with such a name gets AUTHFAIL, on public routes too; the rest of the configuration holds.

Ruled out: refusing the configuration, which would end the service of all tenants; leaving the tenant out of it, since its callers would run as anonymous ones on public routes; changing the names, since members are told the tenant's name.

--- a/core/src/session.rs
+++ b/core/src/session.rs
@@ -12,6 +12,7 @@
 use crate::configuration::Route;
 use crate::log_position::LogPosition;
 use crate::name::Name;
+use crate::name::is_field;
 use crate::node::Node;
 use crate::node::refusal_for_unanswered;
 use crate::outcome::Answer;
@@ -91,7 +92,11 @@
             return Err(Refusal::new(Failure::UnknownDatabase, "no route leads to this database"));
         };
         let tenant = match configuration.tenants_by_key.get(&self.credential) {
-            Some(tenant) => tenant.name.clone(),
+            Some(tenant) if is_field(&tenant.name) => tenant.name.clone(),
+            Some(_) => {
+                let detail = "members cannot be told the name of the tenant";
+                return Err(Refusal::new(Failure::Unauthenticated, detail));
+            }
             None if route.is_public => ANONYMOUS_TENANT.into(),
             None => {
                 return Err(Refusal::new(Failure::Unauthenticated, "the key is not valid"));
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -12,7 +12,10 @@
 use crate::test_cluster::TestCluster;
 use crate::test_cluster::WAIT_LIMIT;
 use crate::test_cluster::failure;
+use crate::test_cluster::route;
 use crate::test_cluster::run;
+use snipehead_core::configuration::Consistency;
+use snipehead_core::configuration::Route;
 use snipehead_core::configuration::ServiceLimits;
 use snipehead_core::configuration::Tenant;
 use snipehead_core::node_record::NodeRecord;
@@ -20,6 +23,7 @@
 use snipehead_core::outcome::Failure;
 use snipehead_core::ownership;
 use snipehead_core::relay::MetadataRequest;
+use snipehead_core::session::Session;
 use snipehead_core::statement::Statement;
 use snipehead_core::statement::StatementKind;
 
@@ -270,6 +274,38 @@
     assert_eq!(cluster.execution_count("c1"), 0);
 }
 
+/// Guards against tenant names that end a field of a line to a member, which would take the rest for
+/// the next one. Other tenants are served.
+#[rstest]
+#[case("a i-7f3a")]
+#[case("a\r\nQUERY 1 FETCH x")]
+#[case("a\n")]
+#[case("\0")]
+#[case("")]
+#[tokio::test]
+async fn the_key_of_a_tenant_whose_name_is_no_field_is_refused(#[case] name: &str) {
+    let cluster = TestCluster::start(1).await;
+    cluster.store.change(|configuration| {
+        let tenant = Tenant { name: name.into(), rate_per_s: 1.0, burst: 1.0 };
+        configuration.tenants_by_key.insert("odd".into(), Arc::new(tenant));
+        let (database, public) = route("public", Consistency::Primary);
+        let public = Route { is_public: true, ..(*public).clone() };
+        configuration.routes.insert(database, Arc::new(public));
+    });
+    let node = cluster.hosts[0].node.clone();
+    let started = Instant::now();
+    while Session::open(node.clone(), "public".into(), "none".into()).is_err() {
+        assert!(started.elapsed() < WAIT_LIMIT, "the configuration is not followed");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for database in ["bookings", "public"] {
+        let opened = Session::open(node.clone(), database.into(), "odd".into());
+        let failure = opened.err().map(|refusal| refusal.failure);
+        assert_eq!(failure, Some(Failure::Unauthenticated), "on {database}");
+    }
+    cluster.wait_until_serving(0).await;
+}
+
 #[tokio::test]
 async fn a_session_reads_its_own_write_although_replicas_lag() {
     let cluster = TestCluster::start(2).await;
