Escape names in labels of metrics and in the status text

Cause: names of tenants, routes, services and members were written into labels, and names of services and members into the status text, as they are. A quote ended the label, and an LF started a line of its own.

Change: labels escape backslash, quote and LF, as the text format demands. The status text escapes names like other texts in quotes, without the quotes. Other names are written as before.

Ruled out: log lines, which quote and escape such values already; a property test now guards this. It passed before the change.

Measured: before the change, the property test of labels (smallest case: a quote) and the test of a service's name failed.

--- a/core/src/metrics.rs
+++ b/core/src/metrics.rs
@@ -69,6 +69,7 @@
     pub fn render(&self, text: &mut String) {
         let counts = lock(&self.counts);
         for ((tenant, route), histogram) in &counts.served {
+            let (tenant, route) = (label_value(tenant), label_value(route));
             let labels = format!("tenant=\"{tenant}\",route=\"{route}\"");
             let _ = writeln!(text, "statements_served{{{labels}}} {}", histogram.len());
             for quantile in [0.5, 0.9, 0.99] {
@@ -80,6 +81,7 @@
             }
         }
         for ((tenant, reason), count) in &counts.refused {
+            let (tenant, reason) = (label_value(tenant), label_value(reason));
             let _ = writeln!(
                 text,
                 "statements_refused{{tenant=\"{tenant}\",reason=\"{reason}\"}} {count}"
@@ -90,3 +92,8 @@
         }
     }
 }
+
+/// Escapes a name for the value of a label, which stands between quotes.
+pub(crate) fn label_value(name: &str) -> String {
+    name.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -204,11 +204,13 @@
         let known = self.configuration.known();
         let services = known.map_or_else(Vec::new, |known| known.configuration.service_names());
         for service in services {
-            match self.owner_directory.owner(&service) {
+            let owner = self.owner_directory.owner(&service);
+            let service = service.escape_debug();
+            match owner {
                 None => problems.push(format!("service {service} has no owner")),
                 Some(owner) => {
                     if let Some(unresponsive_ms) = self.peers.unresponsive_for_ms(owner.address) {
-                        let node = owner.node;
+                        let node = owner.node.escape_debug();
                         problems.push(format!(
                             "{node}, owner of {service}, has not answered for {unresponsive_ms} ms"
                         ));
@@ -236,7 +238,8 @@
     /// Describes, in words for operators, what this node owns and where its metadata comes from.
     fn role_report(&self) -> String {
         let mut text = String::new();
-        let mut owned: Vec<Name> = lock(&self.services).keys().cloned().collect();
+        let mut owned: Vec<String> =
+            lock(&self.services).keys().map(|service| service.escape_debug().to_string()).collect();
         owned.sort();
         let owned = if owned.is_empty() { "nothing".to_owned() } else { owned.join(", ") };
         let is_candidate = lock(&self.nodes).is_candidate();
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -36,6 +36,7 @@
 use crate::member::MemberPromoter;
 use crate::member_directory::MemberDirectory;
 use crate::metrics::Metrics;
+use crate::metrics::label_value;
 use crate::name::Name;
 use crate::service::borrowed::GrantGuard;
 use crate::service::borrowed::SlotGuard;
@@ -433,13 +434,15 @@
 impl ServiceSummary {
     /// Describes each problem of the service: a missing primary, members that do not answer.
     pub fn problems(&self) -> Vec<String> {
-        let service = &self.name;
+        let service = self.name.escape_debug();
         let mut problems = Vec::new();
         if !self.members.iter().any(|member| member.is_primary) {
             problems.push(format!("service {service} has no primary"));
         }
         let failing = self.members.iter().filter(|member| member.is_failing);
-        problems.extend(failing.map(|m| format!("member {} of {service} does not answer", m.id)));
+        problems.extend(failing.map(|member| {
+            format!("member {} of {service} does not answer", member.id.escape_debug())
+        }));
         problems
     }
 
@@ -448,8 +451,8 @@
         let loss = self.last_loss.as_ref()?;
         Some(format!(
             "service {}: the promotion of {} lost up to {} acknowledged commits ({} acknowledged, {} held)",
-            self.name,
-            loss.member,
+            self.name.escape_debug(),
+            loss.member.escape_debug(),
             loss.max_commits(),
             loss.acknowledged,
             loss.held
@@ -458,14 +461,14 @@
 
     /// Appends the metrics in text format, one per line.
     pub fn render_metrics(&self, text: &mut String) {
-        let service = &self.name;
+        let service = label_value(&self.name);
         let open = u8::from(self.is_open);
         let _ = writeln!(text, "service_open{{service=\"{service}\"}} {open}");
         let _ = writeln!(text, "service_waiting{{service=\"{service}\"}} {}", self.waiting);
         let transactions = self.transactions;
         let _ = writeln!(text, "service_transactions{{service=\"{service}\"}} {transactions}");
         for member in &self.members {
-            let labels = format!("service=\"{service}\",member=\"{}\"", member.id);
+            let labels = format!("service=\"{service}\",member=\"{}\"", label_value(&member.id));
             let is_primary = u8::from(member.is_primary);
             let _ = writeln!(text, "member_is_primary{{{labels}}} {is_primary}");
             let is_failing = u8::from(member.is_failing);
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -6,6 +6,7 @@
 mod connection_counts;
 mod extreme_values;
 mod failovers;
+mod forged_lines;
 mod leases;
 mod member_lists;
 mod metadata_sources;
