Move the reasons of a mismatch to a file of their own

The members' types named them, and the matcher names the members' types: a circle of imports, which the check of layers found.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -36,6 +36,7 @@
 mod rebalancer;
 pub mod relay;
 pub mod reply_matcher;
+pub mod reply_mismatch;
 pub mod service;
 pub mod session;
 pub mod session_positions;
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -10,7 +10,7 @@
 use crate::name::Name;
 use crate::outcome::BlockState;
 use crate::outcome::Refusal;
-use crate::reply_matcher::Mismatch;
+use crate::reply_mismatch::Mismatch;
 use crate::statement::PreparedShape;
 
 /// Identity of one incarnation of a member, from its start to its end.
--- a/core/src/service/exchange.rs
+++ b/core/src/service/exchange.rs
@@ -4,7 +4,7 @@
 use crate::member::MemberError;
 use crate::member::MemberKey;
 use crate::member::MemberReply;
-use crate::reply_matcher::Mismatch;
+use crate::reply_mismatch::Mismatch;
 use crate::service::OwnedService;
 use crate::service::matched_connection::MatchedConnection;
 
--- a/core/src/service/matched_connection.rs
+++ b/core/src/service/matched_connection.rs
@@ -6,8 +6,8 @@
 use crate::member::MemberError;
 use crate::member::MemberReply;
 use crate::member::MemberStatus;
-use crate::reply_matcher::Mismatch;
 use crate::reply_matcher::ReplyMatcher;
+use crate::reply_mismatch::Mismatch;
 
 /// Number of remembered signatures at which a connection is closed when it becomes idle. None may be
 /// forgotten while it is in use, since a repeat may come at any time.
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -20,7 +20,7 @@
 use crate::relay::CallAction;
 use crate::relay::CallReply;
 use crate::relay::ReadRequirement;
-use crate::reply_matcher::Mismatch;
+use crate::reply_mismatch::Mismatch;
 use crate::service::AcquiredSlot;
 use crate::service::OwnedService;
 use crate::service::borrowed::BorrowedConnection;
