Send writes on connections without an earlier failure, and count second failures

A second failure on one connection carries no proof, so a write that got one was in doubt although the member had refused it: with three BUSY replies in a row a STORE ended with 'write may have run'. A write, or a transaction that may write, now opens a connection instead of taking an idle one that has seen a failure.

--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -160,7 +160,7 @@
     Refused(Refusal),
     /// The member sent data that cannot be decoded.
     Protocol(String),
-    /// The member sent a reply that is not that of the command that waits for one.
+    /// The member sent a reply that cannot be shown to be that of the command that waits for one.
     Mismatched(Mismatch),
 }
 
@@ -174,7 +174,7 @@
             }
             Self::Protocol(reason) => write!(formatter, "unreadable answer: {reason}"),
             Self::Mismatched(mismatch) => {
-                write!(formatter, "reply of another command: {}", mismatch.label())
+                write!(formatter, "reply without proof: {}", mismatch.label())
             }
         }
     }
--- a/core/src/reply_matcher.rs
+++ b/core/src/reply_matcher.rs
@@ -104,6 +104,11 @@
         self.signatures.len()
     }
 
+    /// Returns whether a failure could not be told from the repeat of an earlier one.
+    pub fn has_failed(&self) -> bool {
+        self.has_failed
+    }
+
     /// Returns the number of replies that the member has repeated.
     pub fn repeats(&self) -> u64 {
         self.repeats
--- a/core/src/service/exchange.rs
+++ b/core/src/service/exchange.rs
@@ -32,6 +32,10 @@
                     self.context.metrics.record_member_failure(refusal.failure);
                 }
             }
+            // Members that are busy or behind fail often without repeating anything.
+            Err(MemberError::Mismatched(Mismatch::SecondFailure)) => {
+                self.context.metrics.increment("member_connections_closed_after_failures");
+            }
             Err(MemberError::Mismatched(mismatch)) => self.report_mismatch(member, id, *mismatch),
             Err(_) => {}
         }
--- a/core/src/service/matched_connection.rs
+++ b/core/src/service/matched_connection.rs
@@ -68,6 +68,12 @@
         self.matcher.repeats() == 0 && self.matcher.signatures() < MAX_SIGNATURES
     }
 
+    /// Returns whether a further failure on the connection could be the repeat of an earlier one, so that
+    /// the outcome of a write would be unknown.
+    pub fn has_failed(&self) -> bool {
+        self.matcher.has_failed()
+    }
+
     /// Returns the number of repeats that were discarded.
     pub fn repeats(&self) -> u64 {
         self.matcher.repeats()
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -216,20 +216,8 @@
         };
         let write_permit = granted.write_permit.clone();
         let member = granted.member.clone();
-        let mut connection = granted.connection.take();
-        // A write on a connection that the member has closed would have an unknown outcome.
-        match connection.as_mut().map(|connection| connection.inner.idle_state()) {
-            None | Some(IdleState::Quiet) => {}
-            Some(IdleState::HasInput) => {
-                connection = None;
-                self.report_mismatch(&member.key, call.action.id(), Mismatch::Unasked);
-            }
-            Some(IdleState::Closed) => {
-                connection = None;
-                self.suspect_member(&member.key, "the member closed an idle connection");
-            }
-        }
-        let connection = match connection {
+        let idle = granted.connection.take();
+        let connection = match self.usable_connection(call, &member.key, idle) {
             Some(connection) => connection,
             None => match self.context.connector.connect(&member, &call.tenant).await {
                 Ok(inner) => {
@@ -266,6 +254,31 @@
         }
     }
 
+    /// Returns an idle connection unless it must not be used for the call.
+    fn usable_connection(
+        &self,
+        call: &Call,
+        member: &MemberKey,
+        idle: Option<PooledConnection>,
+    ) -> Option<PooledConnection> {
+        let mut connection = idle?;
+        match connection.inner.idle_state() {
+            IdleState::Quiet => {
+                let may_be_in_doubt = needs_primary(call) && connection.inner.has_failed();
+                (!may_be_in_doubt).then_some(connection)
+            }
+            IdleState::HasInput => {
+                self.report_mismatch(member, call.action.id(), Mismatch::Unasked);
+                None
+            }
+            // A write on it would have an unknown outcome.
+            IdleState::Closed => {
+                self.suspect_member(member, "the member closed an idle connection");
+                None
+            }
+        }
+    }
+
     /// Waits until a primary has been adopted, the statement may wait no longer, or the service
     /// closes.
     async fn wait_for_primary(&self, timed: &TimedCall) -> AttemptOutcome {
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -472,3 +472,16 @@
     assert_eq!(refusal.failure, Failure::Busy);
     assert!(refusal.detail.contains("retry after"), "{}", refusal.detail);
 }
+
+/// Guards against a write that is in doubt because its connection has seen a failure before: the second
+/// one carries no proof.
+#[tokio::test]
+async fn a_write_that_a_busy_member_refuses_repeatedly_is_not_in_doubt() {
+    let cluster = TestCluster::start(1).await;
+    for _ in 0..3 {
+        cluster.group.inject_fault("m1", InjectedFault::Refused(Failure::Busy));
+    }
+    let mut session = cluster.open(0, "bookings");
+    run(&mut session, "w1", "STORE a 1").await.expect("the member takes it in the end");
+    assert_eq!(cluster.execution_count("w1"), 1);
+}
