Let members repeat replies in the soak of the core

The soak injected lost answers and failures, but no member ever sent a reply twice, so it could not have found the incident. A new fault lets a member repeat earlier replies, of any kind and before any later one; each answer is checked to carry the id of its own statement, also within transactions.

--- a/core/tests/core/soak.rs
+++ b/core/tests/core/soak.rs
@@ -1,5 +1,6 @@
 //! Random faults in a cluster: no statement is executed twice, or executed although its caller was
-//! told that it was not; no read is staler than its route allows; and all hosts recover.
+//! told that it was not; no caller gets the reply to another statement; no read is staler than its
+//! route allows; and all hosts recover.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -56,6 +57,7 @@
     }
 
     fn record_outcome(&self, id: &str, result: &StatementResult) {
+        self.check_reply(id, result);
         match result {
             Ok(answer) => {
                 let position = answer.position.unwrap_or_default();
@@ -69,7 +71,20 @@
         }
     }
 
+    /// Checks that an answer is that of the statement: members put its id into the signature, and the
+    /// signature into the row.
+    fn check_reply(&self, id: &str, result: &StatementResult) {
+        if let Ok(answer) = result
+            && (!answer.signature.ends_with(&format!("-of-{id}"))
+                || answer.rows != [answer.signature.clone()])
+        {
+            let finding = format!("{id} got {:?} {}", answer.rows, answer.signature);
+            self.findings.lock().expect("the mutex is not poisoned").push(finding);
+        }
+    }
+
     fn check_read(&self, id: &str, floor: LogPosition, result: &StatementResult) {
+        self.check_reply(id, result);
         if let Ok(answer) = result
             && answer.position.unwrap_or_default() < floor
         {
@@ -126,6 +141,7 @@
 async fn run_transaction(session: &mut Session, id: &str, outcomes: &OutcomeLog) {
     let begun = run(session, &format!("{id}b"), "BEGIN").await;
     let written = run(session, &format!("{id}w"), "STORE a 1").await;
+    outcomes.check_reply(&format!("{id}w"), &written);
     if begun.is_err() || written.is_err() {
         let _ = run(session, &format!("{id}r"), "ROLLBACK").await;
         return;
@@ -142,7 +158,7 @@
 ) -> &'static str {
     let member = MEMBERS[random.random_range(0..MEMBERS.len())];
     let pause = Duration::from_millis(random.random_range(100..1_500));
-    match random.random_range(0..8) {
+    match random.random_range(0..9) {
         0 => {
             cluster.store.is_down.store(true, Ordering::Release);
             tokio::time::sleep(pause).await;
@@ -180,6 +196,12 @@
             cluster.group.recover(member);
             "member behind"
         }
+        7 => {
+            cluster.group.set_repeating(member, true);
+            tokio::time::sleep(pause).await;
+            cluster.group.set_repeating(member, false);
+            "replies repeated"
+        }
         _ => {
             let failures = [Failure::Busy, Failure::Lagging, Failure::ReadOnly, Failure::Failed];
             let failure = failures[random.random_range(0..failures.len())];
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -53,6 +53,8 @@
     latency_ms: u64,
     /// Whether orders to promote it have no effect.
     is_unpromotable: bool,
+    /// Whether it sends some replies a second time, after later ones.
+    repeats_replies: bool,
     faults: Vec<InjectedFault>,
 }
 
@@ -97,6 +99,7 @@
                 executed: Vec::new(),
                 latency_ms: 1,
                 is_unpromotable: false,
+                repeats_replies: false,
                 faults: Vec::new(),
             };
             (address, (entry, state))
@@ -192,6 +195,10 @@
         self.with_member(id, |member| member.is_unpromotable = true);
     }
 
+    pub fn set_repeating(&self, id: &str, repeats_replies: bool) {
+        self.with_member(id, |member| member.repeats_replies = repeats_replies);
+    }
+
     /// Sets the time that a member takes for each exchange.
     pub fn set_latency(&self, id: &str, latency_ms: u64) {
         self.with_member(id, |member| member.latency_ms = latency_ms);
@@ -201,9 +208,10 @@
         self.with_member(id, |member| member.faults.push(fault));
     }
 
-    /// Returns a signature that no other reply has.
-    fn next_signature(&self) -> Name {
-        format!("signature-{}", self.signatures.fetch_add(1, Ordering::Relaxed)).into()
+    /// Returns a signature that no other reply has, for the statement with an id.
+    fn next_signature(&self, id: &Name) -> Name {
+        let number = self.signatures.fetch_add(1, Ordering::Relaxed);
+        format!("signature-{number}-of-{id}").into()
     }
 
     /// Returns the ids and texts of the statements that a member executed.
@@ -256,6 +264,7 @@
             writes: 0,
             incarnation: state.incarnation,
             replies: VecDeque::new(),
+            sent: Vec::new(),
         };
         Ok(Box::new(connection))
     }
@@ -270,13 +279,26 @@
     incarnation: u64,
     /// Replies that were not received yet.
     replies: VecDeque<MemberReply>,
+    /// All replies, which may be repeated.
+    sent: Vec<MemberReply>,
 }
 
 impl StandInConnection {
-    /// Returns a reply with one row, if the member signs it.
+    /// Repeats an earlier reply before each third one. Which one varies.
+    fn push(&mut self, reply: MemberReply, repeats: bool) {
+        let number = self.sent.len();
+        if repeats && number % 3 == 2 {
+            let repeated = self.sent[number - 1 - (number / 3) % 3 % number].clone();
+            self.replies.push_back(repeated);
+        }
+        self.sent.push(reply.clone());
+        self.replies.push_back(reply);
+    }
+
+    /// Returns a reply, with one row that equals the signature if the member signs it.
     fn reply(&self, result: Result<Name, Refusal>, position: LogPosition) -> MemberReply {
-        let is_signed = result.as_ref().is_ok_and(|signature| &**signature != "-");
-        let rows = if is_signed { vec!["row".into()] } else { Vec::new() };
+        let signature = result.as_ref().ok().filter(|signature| &***signature != "-");
+        let rows = signature.cloned().into_iter().collect();
         MemberReply { rows, result, block: self.block, position: Some(position) }
     }
 
@@ -332,7 +354,7 @@
         command: &MemberCommand,
         state: &MemberState,
     ) -> Result<MemberReply, MemberError> {
-        let signed = || Ok(self.group.next_signature());
+        let signed = |id: &Name| Ok(self.group.next_signature(id));
         let done: Result<Name, Refusal> = Ok("-".into());
         let read_only = || Err(Refusal::new(Failure::ReadOnly, "the member is a replica"));
         let lagging =
@@ -367,14 +389,14 @@
                 self.writes += u64::from(is_write);
                 let commits = is_write && self.block == BlockState::Idle;
                 let position = if commits { self.commit() } else { state.position };
-                Ok(self.reply(signed(), position))
+                Ok(self.reply(signed(id), position))
             }
             MemberCommand::Commit { id } => {
                 self.record_execution(format!("{id} COMMIT"));
                 self.block = BlockState::Idle;
                 let has_written = std::mem::take(&mut self.writes) > 0;
                 let position = if has_written { self.commit() } else { state.position };
-                Ok(self.reply(signed(), position))
+                Ok(self.reply(signed(id), position))
             }
             MemberCommand::Rollback | MemberCommand::Reset => {
                 self.block = BlockState::Idle;
@@ -400,9 +422,10 @@
 #[async_trait]
 impl MemberConnection for StandInConnection {
     async fn send(&mut self, commands: &[MemberCommand]) -> Result<(), MemberError> {
-        let latency_ms = {
+        let (latency_ms, repeats) = {
             let members = self.group.members.lock().expect("the mutex is not poisoned");
-            members[&self.address].1.latency_ms
+            let state = &members[&self.address].1;
+            (state.latency_ms, state.repeats_replies)
         };
         tokio::time::sleep(Duration::from_millis(latency_ms)).await;
         if self.group.is_cut(&self.host, self.address) {
@@ -410,7 +433,7 @@
         }
         for command in commands {
             let reply = self.handle(command)?;
-            self.replies.push_back(reply);
+            self.push(reply, repeats);
         }
         Ok(())
     }
@@ -421,9 +444,10 @@
 
     fn idle_state(&mut self) -> IdleState {
         let members = self.group.members.lock().expect("the mutex is not poisoned");
-        match self.incarnation == members[&self.address].1.incarnation {
-            true => IdleState::Quiet,
-            false => IdleState::Closed,
+        match (self.incarnation == members[&self.address].1.incarnation, self.replies.is_empty()) {
+            (false, _) => IdleState::Closed,
+            (true, false) => IdleState::HasInput,
+            (true, true) => IdleState::Quiet,
         }
     }
 
