Keep the text of a caller from being a relay command

Cause: a daemon that is no home of a group sends the queries of its callers and its own commands to the home as the same kind of message. A caller that sent "SNIPEHEAD RELEASE CLEAN" had the home put the connection back into its pool, with the settings that the session had set on it just before, for any other session to use.

Change: a query that begins like a command gets a blank in front on its way to the home. The member refuses it with a syntax error as before.

Ruled out: refusing such texts when they are classified, since the texts reach the relay on more than one way; another kind of message for the commands, since earlier daemons would not understand it.

Result: the new test failed on the code before (an empty success in place of the syntax error) and passes now.

--- a/src/relay/relay_message.rs
+++ b/src/relay/relay_message.rs
@@ -12,6 +12,9 @@
 /// User name that daemons give when they open a relay connection.
 pub const RELAY_USER: &str = "snipehead-relay";
 
+/// Start of every query that is addressed to the home.
+const COMMAND_PREFIX: &str = "SNIPEHEAD ";
+
 /// Start of the query that requests a connection to a member; the request follows as JSON.
 const ACQUIRE_PREFIX: &str = "SNIPEHEAD LANE ";
 
@@ -75,6 +78,13 @@
     }
 }
 
+/// Returns the text of a caller's query in a form that the home does not take for a command.
+///
+/// A blank in front changes nothing for the member, which refuses such a text anyway.
+pub fn escape_query(sql: &str) -> Option<String> {
+    sql.starts_with(COMMAND_PREFIX).then(|| format!(" {sql}"))
+}
+
 impl RelayGrant {
     /// Encodes the grant as a message.
     pub fn to_message(self) -> Reply {
--- a/src/relay/relayed_connection.rs
+++ b/src/relay/relayed_connection.rs
@@ -10,6 +10,7 @@
 
 use super::relay_message::NOT_ACKNOWLEDGED_PARAMETER;
 use super::relay_message::RelayCommand;
+use super::relay_message::escape_query;
 use super::relay_pool::RelayPool;
 use crate::group::exclusive_connection::ConnectionError;
 use crate::group::exclusive_connection::ExclusiveConnection;
@@ -48,6 +49,7 @@
 #[async_trait]
 impl ExclusiveConnection for RelayedConnection {
     async fn send(&mut self, messages: Vec<Request>) -> Result<(), ConnectionError> {
+        let messages = messages.into_iter().map(escaped).collect();
         match self.connection()?.send(messages).await {
             Ok(()) => Ok(()),
             Err(error) => Err(self.drop_connection(error)),
@@ -89,3 +91,14 @@
         }
     }
 }
+
+/// Keeps the text of a caller from being taken for a command to the home.
+fn escaped(message: Request) -> Request {
+    match message {
+        Request::Query(query) => match escape_query(&query.query) {
+            Some(sql) => Request::Query(Query::new(sql)),
+            None => Request::Query(query),
+        },
+        other => other,
+    }
+}
--- a/tests/integration/sessions.rs
+++ b/tests/integration/sessions.rs
@@ -3,9 +3,12 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+
 use crate::harness::cluster::Cluster;
 use crate::harness::sql_client::Outcome;
 use crate::harness::sql_client::SqlClient;
+use snipehead::stand_in::deployment::DeploymentPlan;
 use snipehead::stand_in::fault_proxy::Fault;
 
 #[tokio::test(flavor = "multi_thread")]
@@ -233,3 +236,27 @@
         assert_eq!(next.run_ok("SELECT id FROM notes").await, ["7"]);
     }
 }
+
+/// Guards against the text of a caller that the home of a group obeys: it could pass a connection
+/// with the settings of one session on to another.
+#[tokio::test(flavor = "multi_thread")]
+async fn text_of_a_caller_is_no_command_to_the_home() {
+    let cluster = Cluster::start_with_plan(DeploymentPlan {
+        hosts: 2,
+        defaults: json!({ "rate_per_s": 100_000, "burst": 100_000, "homes_per_group": 1 }),
+        ..DeploymentPlan::small()
+    })
+    .await;
+    for daemon in 0..2 {
+        let sql = cluster.connect(daemon).await;
+        sql.run_ok("SET search_path = 'elsewhere'").await;
+        for command in ["SNIPEHEAD RELEASE CLEAN", "SNIPEHEAD RELEASE DIRTY"] {
+            let outcome = sql.run(command).await;
+            assert!(
+                matches!(&outcome, Outcome::Error(code, _) if code == "42601"),
+                "{command} through daemon {daemon}: {outcome:?}"
+            );
+        }
+        sql.run_ok("SELECT 1").await;
+    }
+}
