Prove that the reply to a control call is its own

Cause: the replies of a member to control calls were matched by order alone, and the connection was not looked at before a call. When a reply came a second time, late, every later call got the reply to the one before it: a vote for another promoter counted as granted, so that two promoters could win the same term, and an old status counted as the answer to a new probe.

Change: each call is sent together with a query for a number that is new with every call. The reply to the call must be the only one before the row with that number, with the messages in their order; otherwise the connection is closed, and the call fails like one to an unreachable member. A connection that has received something while it was idle is replaced before the next call. Both are logged and counted. The stand-in answers a query for a constant also on a session whose data file was recreated, since such a query reads no data; it can repeat a reply late.

Ruled out: a number in the call and its status row, since the members would have to offer other procedures; the look at an idle connection alone, since a reply may come again while the next call is on its way.

Result: both tests in replies.rs failed on the code before (the member had granted the term to the first promoter only, the second was told that it was granted to it) and pass now. The cost of the added query was not measured; it adds no round trip.

--- a/src/group.rs
+++ b/src/group.rs
@@ -1,6 +1,7 @@
 //! Database groups as seen by a daemon: what their members hold, which member is primary, and how a
 //! request gets a connection to a member.
 
+pub mod call_replies;
 pub mod exclusive_connection;
 pub mod fair_queue;
 pub mod floor_history;
@@ -11,6 +12,7 @@
 pub mod member_connection;
 pub mod member_control;
 pub mod member_status;
+pub mod out_of_step;
 pub mod prober;
 pub mod provider_table;
 pub mod quorum;
--- a/src/group/member_connection.rs
+++ b/src/group/member_connection.rs
@@ -14,13 +14,15 @@
 use pgwire::messages::simplequery::Query;
 use pgwire::tokio::client::PgWireClient;
 
+use super::call_replies::CallProgress;
+use super::call_replies::CallReplies;
 use super::log_position::LogPosition;
 use super::member_control::ControlReply;
 use super::member_control::MemberError;
 use super::member_status::MemberStatus;
+use super::out_of_step;
 use super::term_end::TermEnd;
 use crate::wire::sql_error::SqlError;
-use crate::wire::text_row::text_values;
 
 /// Number of columns in the status row that control procedures return.
 const STATUS_COLUMNS: usize = 12;
@@ -45,6 +47,8 @@
 /// Relay connections use it too: the daemon at the other end then acts as the member.
 pub struct MemberConnection {
     client: PgWireClient,
+    /// Number of control calls so far, which is the marker of the latest one.
+    calls: u64,
     /// Log position that the connection's reads are known to include.
     pub applied: LogPosition,
 }
@@ -70,7 +74,7 @@
             .await
             .map_err(|_| unreachable_error("connecting to the member timed out"))?
             .map_err(|error| unreachable_error(&error.to_string()))?;
-        Ok(Self { client, applied: LogPosition::default() })
+        Ok(Self { client, calls: 0, applied: LogPosition::default() })
     }
 
     /// Sends messages and flushes them.
@@ -90,7 +94,17 @@
 
     /// Returns whether an idle connection was closed or has received an unsolicited message.
     pub fn is_unusable(&mut self) -> bool {
-        self.client.next().now_or_never().is_some()
+        match self.client.next().now_or_never() {
+            None => false,
+            Some(received) => {
+                if let Some(Ok(reply)) = received
+                    && !is_unsolicited(&reply)
+                {
+                    out_of_step::record("idle");
+                }
+                true
+            }
+        }
     }
 
     /// Receives the next message.
@@ -110,19 +124,25 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the connection is lost or the member refuses the call.
+    /// Returns an error when the connection is lost or out of step, or the member refuses the call.
     pub async fn call(&mut self, sql: String) -> Result<ControlReply, MemberError> {
-        self.send(vec![Request::Query(Query::new(sql))]).await?;
-        let mut outcome = Err(unreachable_error("the member returned no status row"));
+        self.calls += 1;
+        let mut replies = CallReplies::new(&self.calls.to_string());
+        let marker_sql = replies.marker_sql();
+        let queries = [sql, marker_sql].map(|text| Request::Query(Query::new(text)));
+        self.send(queries.into()).await?;
         loop {
-            match self.receive().await? {
-                Reply::DataRow(row) => outcome = parse_control_reply(&text_values(&row)),
-                Reply::ErrorResponse(response) => {
-                    let error = SqlError::from_response(&response);
-                    outcome = Err(MemberError::Refused(error.to_string()));
+            match replies.accept(&self.receive().await?) {
+                CallProgress::Incomplete => {}
+                CallProgress::Complete(Ok(values)) => return parse_control_reply(&values),
+                CallProgress::Complete(Err(error)) => {
+                    return Err(MemberError::Refused(error.to_string()));
+                }
+                CallProgress::Closing(error) => return Err(unreachable_error(&error.to_string())),
+                CallProgress::OutOfStep => {
+                    out_of_step::record("control call");
+                    return Err(unreachable_error("a reply does not belong to the control call"));
                 }
-                Reply::ReadyForQuery(_) => return outcome,
-                _ => {}
             }
         }
     }
@@ -148,6 +168,18 @@
     }
 }
 
+/// Returns whether a member may send a message at any time: a notice, the change of a parameter, a
+/// notification, or the error with which it closes the connection.
+fn is_unsolicited(reply: &Reply) -> bool {
+    match reply {
+        Reply::NoticeResponse(_) | Reply::ParameterStatus(_) | Reply::NotificationResponse(_) => {
+            true
+        }
+        Reply::ErrorResponse(response) => SqlError::from_response(response).severity == "FATAL",
+        _ => false,
+    }
+}
+
 fn unreachable_error(reason: &str) -> MemberError {
     MemberError::Unreachable(reason.to_owned())
 }
--- a/src/group/sql_member_control.rs
+++ b/src/group/sql_member_control.rs
@@ -34,7 +34,11 @@
     async fn call(&self, sql: String, timeout: Duration) -> Result<ControlReply, MemberError> {
         let call = async {
             let mut slot = self.connection.lock().await;
-            let mut connection = match slot.take() {
+            let idle = slot.take().and_then(|mut connection| {
+                let is_unusable = connection.is_unusable();
+                (!is_unusable).then_some(connection)
+            });
+            let mut connection = match idle {
                 Some(connection) => connection,
                 None => MemberConnection::open(&self.options).await?,
             };
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control::handle::ControlHandle;
+use crate::group::out_of_step;
 use crate::peer::rpc::DaemonReport;
 
 /// Interval between reports.
@@ -53,6 +54,7 @@
         let _ = self.client.gauge("configuration_version", report.version);
         let _ = self.client.gauge("lease_left_ms", report.lease_left_ms);
         let _ = self.client.gauge("callers", report.callers);
+        let _ = self.client.gauge("connections_out_of_step", out_of_step::count());
         for group in &report.groups {
             let gauges = [
                 ("group.term", group.term),
--- a/src/stand_in/deployment.rs
+++ b/src/stand_in/deployment.rs
@@ -14,9 +14,10 @@
 use super::member::MemberOptions;
 use super::platform::PlatformStandIn;
 
-/// User and password with which daemons connect to members.
-const MEMBER_USER: &str = "snipehead";
-const MEMBER_PASSWORD: &str = "member-password";
+/// User with which daemons connect to members.
+pub const MEMBER_USER: &str = "snipehead";
+/// Password with which daemons connect to members.
+pub const MEMBER_PASSWORD: &str = "member-password";
 
 /// Secret that the daemons of a deployment share.
 pub const SHARED_SECRET: &str = "demo-secret-of-all-daemons";
--- a/src/stand_in/fault_proxy.rs
+++ b/src/stand_in/fault_proxy.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -38,6 +40,8 @@
     /// Closes connections once this many request bytes have passed, over all connections since the
     /// fault was set.
     pub reset_after_request_bytes: Option<u64>,
+    /// Sends the next chunk of a response once more after this many milliseconds.
+    pub repeats_response_after_ms: Option<u64>,
 }
 
 impl Fault {
@@ -58,6 +62,8 @@
     fault: watch::Sender<Fault>,
     passed_request_bytes: AtomicU64,
     passed_response_bytes: AtomicU64,
+    /// Whether a response has been repeated since the fault was set.
+    has_repeated: AtomicBool,
     /// Bytes sent to the target since recording started, if it has.
     recorded_requests: Mutex<Option<Vec<u8>>>,
     stop: CancellationToken,
@@ -83,6 +89,7 @@
             fault: watch::Sender::new(Fault::default()),
             passed_request_bytes: AtomicU64::new(0),
             passed_response_bytes: AtomicU64::new(0),
+            has_repeated: AtomicBool::new(false),
             recorded_requests: Mutex::new(None),
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
@@ -100,6 +107,7 @@
     pub fn set_fault(&self, fault: Fault) {
         self.passed_request_bytes.store(0, Ordering::SeqCst);
         self.passed_response_bytes.store(0, Ordering::SeqCst);
+        self.has_repeated.store(false, Ordering::SeqCst);
         self.fault.send_replace(fault);
     }
 
@@ -201,8 +209,20 @@
 ) {
     let mut faults = proxy.fault.subscribe();
     let mut buffer = vec![0; CHUNK_BYTES];
+    let mut repeat: Option<(Instant, Vec<u8>)> = None;
     loop {
-        let Ok(count) = reader.read(&mut buffer).await else {
+        let due_at = repeat.as_ref().map(|(due_at, _)| *due_at);
+        let read = tokio::select! {
+            read = reader.read(&mut buffer) => read,
+            () = tokio::time::sleep_until(due_at.unwrap_or_else(Instant::now)), if due_at.is_some() => {
+                let bytes = repeat.take().map(|(_, bytes)| bytes).unwrap_or_default();
+                if writer.write_all(&bytes).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
+        let Ok(count) = read else {
             return;
         };
         if count == 0 {
@@ -225,5 +245,12 @@
         if proxy.has_reached_limit(direction, fault) {
             return;
         }
+        if direction == Direction::Responses
+            && let Some(after_ms) = fault.repeats_response_after_ms
+            && !proxy.has_repeated.swap(true, Ordering::SeqCst)
+        {
+            let due_at = Instant::now() + Duration::from_millis(after_ms);
+            repeat = Some((due_at, buffer[..allowed].to_vec()));
+        }
     }
 }
--- a/src/stand_in/member/session.rs
+++ b/src/stand_in/member/session.rs
@@ -288,8 +288,10 @@
             StatementKind::Rollback => self.rollback(),
             StatementKind::Setting(tag) => (*tag).to_owned(),
             StatementKind::Control(call) => self.run_control_call(call, replies)?,
-            StatementKind::Read => {
-                self.check_data_generation()?;
+            StatementKind::Constant | StatementKind::Read => {
+                if statement.kind == StatementKind::Read {
+                    self.check_data_generation()?;
+                }
                 let rows = self.run_sql(statement, values, formats, describes_rows, replies)?;
                 format!("SELECT {rows}")
             }
--- a/src/stand_in/member/session/extended.rs
+++ b/src/stand_in/member/session/extended.rs
@@ -189,7 +189,7 @@
         return Ok(Reply::NoData(NoData::new()));
     };
     let columns = match statement.kind {
-        StatementKind::Read | StatementKind::Write(_) => {
+        StatementKind::Constant | StatementKind::Read | StatementKind::Write(_) => {
             let prepared = connection.prepare_cached(&statement.sql).map_err(to_sql_error)?;
             result_set::describe(&prepared, formats)
         }
--- a/src/stand_in/member/statement.rs
+++ b/src/stand_in/member/statement.rs
@@ -3,7 +3,12 @@
 use rusqlite::types::Value;
 use serde::Deserialize;
 use serde::Serialize;
+use sqlparser::ast::Expr;
+use sqlparser::ast::Query;
+use sqlparser::ast::SelectItem;
+use sqlparser::ast::SetExpr;
 use sqlparser::ast::Statement;
+use sqlparser::ast::Value as AstValue;
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 
@@ -63,6 +68,8 @@
     Setting(&'static str),
     /// Calls a procedure of the control interface of the member.
     Control(ControlCall),
+    /// Returns a text that the statement contains, and reads no data.
+    Constant,
     /// Reads data.
     Read,
     /// Writes data or changes the schema. Holds the start of the command tag.
@@ -100,6 +107,7 @@
         Statement::Set(_) | Statement::Reset(_) => StatementKind::Setting("SET"),
         Statement::Discard { .. } => StatementKind::Setting("DISCARD ALL"),
         Statement::Call(function) => StatementKind::Control(ControlCall::parse(function)?),
+        Statement::Query(query) if is_constant(query) => StatementKind::Constant,
         Statement::Query(_) => StatementKind::Read,
         Statement::Insert(_) => StatementKind::Write("INSERT 0"),
         Statement::Update { .. } => StatementKind::Write("UPDATE"),
@@ -118,3 +126,14 @@
     };
     Ok(MemberStatement { sql: statement.to_string(), kind })
 }
+
+/// Returns whether a query consists of one text only, such as `SELECT 'text'`.
+fn is_constant(query: &Query) -> bool {
+    let SetExpr::Select(select) = query.body.as_ref() else {
+        return false;
+    };
+    let [SelectItem::UnnamedExpr(Expr::Value(value))] = select.projection.as_slice() else {
+        return false;
+    };
+    select.from.is_empty() && matches!(value.value, AstValue::SingleQuotedString(_))
+}
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic without input and output. The protocols are checked with random
 //! schedules of events.
 
+mod call_replies;
 mod change_logs;
 mod charts;
 mod classification;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod operations;
 mod rates;
 mod reads;
+mod replies;
 mod requests;
 mod sessions;
 mod writes;
