Keep repeated replies out of transactions

Cause: the connection of an open transaction was never looked at between its statements, and replies were matched loosely: a ReadyForQuery alone ended a query, rows were accepted after the result of a Sync, and the transaction status was taken as reported. A reply that came again, late, became the answer of the next statement, and every later answer was that of the statement before. A repeated status could also end a transaction for the daemon that was open at the member.

Change: the runner looks at the connection before each request and command, and before it is released, at a home and over a relay. Notices, notifications and changed parameters are passed over. A query ends only after a result or an error, its rows follow their description, a Sync has no reply but ReadyForQuery, and the transaction status must fit what was sent. A connection out of step is closed, logged and counted. What was not sent is run again if nothing had run, otherwise the transaction was rolled back (40001); what was sent is reported as before, a write as of unknown outcome. A repeat of a request id that fails no longer leaves its connection in use.

Ruled out: a number along with each request, as control calls have.

--- a/src/caller/expected_replies.rs
+++ b/src/caller/expected_replies.rs
@@ -21,8 +21,10 @@
     DescribePortal,
     /// An Execute.
     Execute,
-    /// A Query or Sync, whose replies end with ReadyForQuery.
-    Ready,
+    /// A Query, whose replies end with ReadyForQuery.
+    Query,
+    /// A Sync, whose only reply is ReadyForQuery.
+    Sync,
 }
 
 /// How to handle a reply.
@@ -41,6 +43,22 @@
 #[derive(Clone, Debug, Default)]
 pub struct ExpectedReplies {
     awaited: VecDeque<AwaitedReply>,
+    /// What has arrived in reply to the current Query, or since an error.
+    query: QueryProgress,
+}
+
+/// What has arrived in reply to a Query.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum QueryProgress {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// The description of rows, and perhaps rows.
+    Rows,
+    /// The results of all statements so far.
+    Results,
+    /// An error, after which only ReadyForQuery may follow.
+    Error,
 }
 
 impl ExpectedReplies {
@@ -65,13 +83,17 @@
                 return ReplyAction::Discard;
             }
             Reply::ErrorResponse(_) => {
+                if self.query == QueryProgress::Error {
+                    return ReplyAction::Unexpected;
+                }
                 self.skip_to_ready();
+                self.query = QueryProgress::Error;
                 return ReplyAction::Forward;
             }
             _ => {}
         }
-        if next == AwaitedReply::Ready {
-            return self.match_until_ready(reply);
+        if matches!(next, AwaitedReply::Query | AwaitedReply::Sync) {
+            return self.match_until_ready(next, reply);
         }
         let (fits, ends) = match (next, reply) {
             (AwaitedReply::Parse | AwaitedReply::AddedParse, Reply::ParseComplete(_)) => {
@@ -103,23 +125,39 @@
         }
     }
 
-    fn match_until_ready(&mut self, reply: &Reply) -> ReplyAction {
-        match reply {
-            Reply::ReadyForQuery(_) => {
-                self.awaited.pop_front();
-                ReplyAction::Discard
+    /// Matches a reply to a Query or Sync. The reply to an earlier message may look alike, but not
+    /// where it leaves the Query without a result or adds one to the Sync.
+    fn match_until_ready(&mut self, next: AwaitedReply, reply: &Reply) -> ReplyAction {
+        let may_end = match next {
+            AwaitedReply::Query => {
+                matches!(self.query, QueryProgress::Results | QueryProgress::Error)
             }
-            Reply::RowDescription(_)
-            | Reply::DataRow(_)
-            | Reply::CommandComplete(_)
-            | Reply::EmptyQueryResponse(_) => ReplyAction::Forward,
-            _ => ReplyAction::Unexpected,
+            _ => true,
+        };
+        if matches!(reply, Reply::ReadyForQuery(_)) && may_end {
+            self.awaited.pop_front();
+            self.query = QueryProgress::Nothing;
+            return ReplyAction::Discard;
+        }
+        if next != AwaitedReply::Query {
+            return ReplyAction::Unexpected;
         }
+        self.query = match (self.query, reply) {
+            (QueryProgress::Nothing | QueryProgress::Results, Reply::RowDescription(_))
+            | (QueryProgress::Rows, Reply::DataRow(_)) => QueryProgress::Rows,
+            (QueryProgress::Error, _) => return ReplyAction::Unexpected,
+            (_, Reply::CommandComplete(_) | Reply::EmptyQueryResponse(_)) => QueryProgress::Results,
+            _ => return ReplyAction::Unexpected,
+        };
+        ReplyAction::Forward
     }
 
-    /// Drops the messages before the next Sync, because the member skips them after an error.
+    /// Drops the messages before the next Query or Sync, because the member skips them after an
+    /// error.
     fn skip_to_ready(&mut self) {
-        while self.awaited.front().is_some_and(|awaited| *awaited != AwaitedReply::Ready) {
+        let ends =
+            |awaited: &AwaitedReply| matches!(awaited, AwaitedReply::Query | AwaitedReply::Sync);
+        while self.awaited.front().is_some_and(|awaited| !ends(awaited)) {
             self.awaited.pop_front();
         }
     }
--- a/src/caller/request_batch.rs
+++ b/src/caller/request_batch.rs
@@ -104,7 +104,8 @@
 
     fn awaited(&self) -> Option<AwaitedReply> {
         match self {
-            Self::Query(_) | Self::Sync => Some(AwaitedReply::Ready),
+            Self::Query(_) => Some(AwaitedReply::Query),
+            Self::Sync => Some(AwaitedReply::Sync),
             Self::Parse { is_added: true, .. } => Some(AwaitedReply::AddedParse),
             Self::Parse { .. } => Some(AwaitedReply::Parse),
             Self::Bind(_) => Some(AwaitedReply::Bind),
--- a/src/caller/request_runner.rs
+++ b/src/caller/request_runner.rs
@@ -15,6 +15,7 @@
 
 use self::errors::as_not_run;
 use self::errors::not_run;
+use self::errors::out_of_step_error;
 use self::errors::rolled_back;
 use self::errors::unknown_outcome;
 use crate::caller::expected_replies::ReplyAction;
@@ -60,6 +61,8 @@
     is_replica: bool,
     is_dirty: bool,
     has_settings: bool,
+    /// Whether a transaction is open on it, by the member's last report.
+    is_in_transaction: bool,
 }
 
 /// How an attempt to run a batch ended.
@@ -228,6 +231,13 @@
             return Ok(AttemptOutcome::Failed(error));
         }
         let may_retry = is_new_connection;
+        if self.check_in_step().is_err() {
+            let reason = "the connection to the member was lost before the request was sent";
+            return Ok(match may_retry {
+                true => AttemptOutcome::NotRun(not_run(reason)),
+                false => AttemptOutcome::Failed(rolled_back()),
+            });
+        }
         let outcome = self.exchange(batch, wire, may_retry).await?;
         match outcome {
             ExchangeOutcome::Complete { status, deferred, .. } => {
@@ -306,12 +316,15 @@
             }
             match expected.match_reply(&reply) {
                 ReplyAction::Unexpected => {
-                    let error =
-                        ConnectionError::Lost("the member sent an unexpected reply".to_owned());
+                    let error = out_of_step_error("request");
                     return Ok(ExchangeOutcome::ConnectionFailed { error, is_forwarded });
                 }
                 ReplyAction::Discard => {
                     if let Reply::ReadyForQuery(ready) = &reply {
+                        if !self.accept_status(ready.status, batch.ends_block) {
+                            let error = out_of_step_error("request");
+                            return Ok(ExchangeOutcome::ConnectionFailed { error, is_forwarded });
+                        }
                         status = Some(ready.status);
                     }
                 }
--- a/src/caller/request_runner/connection_use.rs
+++ b/src/caller/request_runner/connection_use.rs
@@ -7,6 +7,7 @@
 use pgwire::messages::PgWireBackendMessage as Reply;
 use pgwire::messages::PgWireFrontendMessage as Request;
 use pgwire::messages::extendedquery::Sync;
+use pgwire::messages::response::TransactionStatus;
 use pgwire::messages::simplequery::Query;
 
 use super::ActiveConnection;
@@ -15,7 +16,11 @@
 use super::SessionEnd;
 use super::errors::cancelled;
 use super::errors::not_run;
+use super::errors::out_of_step_error;
 use super::flush;
+use crate::caller::expected_replies::AwaitedReply;
+use crate::caller::expected_replies::ExpectedReplies;
+use crate::caller::expected_replies::ReplyAction;
 use crate::caller::request_batch::RequestBatch;
 use crate::caller::request_id::RequestId;
 use crate::caller::startup::CallerWire;
@@ -100,6 +105,7 @@
             is_replica: grant.is_replica,
             is_dirty: false,
             has_settings: false,
+            is_in_transaction: false,
         });
         Ok(())
     }
@@ -129,7 +135,8 @@
         if let Some(connection) = self.connection.as_mut() {
             connection.has_settings = has_settings;
         }
-        match self.command(&sql).await {
+        let opens_transaction = self.block.is_some() || request.is_some();
+        match self.command(&sql, opens_transaction).await {
             Ok(_) => {
                 if let Some(block) = self.block.as_mut() {
                     block.is_started = true;
@@ -178,15 +185,48 @@
         }
     }
 
-    /// Runs a statement that the daemon issues itself; returns the rows as text.
-    pub(super) async fn command(&mut self, sql: &str) -> Result<Vec<Vec<String>>, CommandError> {
+    /// Checks, while no reply is awaited, that none has arrived.
+    pub(super) fn check_in_step(&mut self) -> Result<(), ConnectionError> {
+        self.connection.as_mut().map_or(Ok(()), |active| active.connection.check_in_step())
+    }
+
+    /// Takes the transaction status that ends the replies to messages. Returns whether it can
+    /// belong to them: only some open or end a transaction.
+    pub(super) fn accept_status(&mut self, status: TransactionStatus, may_change: bool) -> bool {
+        let is_in_transaction = status != TransactionStatus::Idle;
+        let Some(active) = self.connection.as_mut() else {
+            return false;
+        };
+        let was_in_transaction =
+            std::mem::replace(&mut active.is_in_transaction, is_in_transaction);
+        may_change || active.is_dirty || was_in_transaction == is_in_transaction
+    }
+
+    /// Runs statements that the daemon issues itself, after which a transaction is open or not;
+    /// returns the rows as text.
+    pub(super) async fn command(
+        &mut self,
+        sql: &str,
+        opens_transaction: bool,
+    ) -> Result<Vec<Vec<String>>, CommandError> {
+        self.check_in_step().map_err(CommandError::ConnectionFailed)?;
         let query = Request::Query(Query::new(sql.to_owned()));
         self.send_to_member(vec![query]).await.map_err(CommandError::ConnectionFailed)?;
-        self.read_until_ready().await
+        let rows = self.read_until_ready(AwaitedReply::Query).await?;
+        let is_open = self.connection.as_ref().is_some_and(|active| active.is_in_transaction);
+        match is_open == opens_transaction {
+            true => Ok(rows),
+            false => Err(CommandError::ConnectionFailed(out_of_step_error("command"))),
+        }
     }
 
-    /// Reads replies up to ReadyForQuery; returns the rows as text.
-    pub(super) async fn read_until_ready(&mut self) -> Result<Vec<Vec<String>>, CommandError> {
+    /// Reads the replies to a Query or Sync of the daemon itself; returns the rows as text.
+    pub(super) async fn read_until_ready(
+        &mut self,
+        awaited: AwaitedReply,
+    ) -> Result<Vec<Vec<String>>, CommandError> {
+        let mut expected = ExpectedReplies::default();
+        expected.push(awaited);
         let mut rows = Vec::new();
         let mut failure = None;
         loop {
@@ -196,13 +236,19 @@
             };
             let reply =
                 active.connection.receive().await.map_err(CommandError::ConnectionFailed)?;
-            self.record_commit(&reply);
+            if self.record_commit(&reply) {
+                continue;
+            }
+            if expected.match_reply(&reply) == ReplyAction::Unexpected {
+                return Err(CommandError::ConnectionFailed(out_of_step_error("command")));
+            }
             match reply {
                 Reply::DataRow(row) => rows.push(text_values(&row)),
                 Reply::ErrorResponse(response) => {
                     failure = Some(SqlError::from_response(&response))
                 }
-                Reply::ReadyForQuery(_) => {
+                Reply::ReadyForQuery(ready) => {
+                    self.accept_status(ready.status, true);
                     return match failure {
                         Some(error) => Err(CommandError::Sql(error)),
                         None => Ok(rows),
@@ -217,8 +263,9 @@
     pub(super) async fn release_connection(&mut self) {
         let mut is_clean = self.connection.as_ref().is_some_and(|connection| !connection.is_dirty);
         if is_clean && self.connection.as_ref().is_some_and(|connection| connection.has_settings) {
-            is_clean = self.command("RESET ALL").await.is_ok();
+            is_clean = self.command("RESET ALL", false).await.is_ok();
         }
+        is_clean = is_clean && self.check_in_step().is_ok();
         if let Some(active) = self.connection.take() {
             active.connection.release(is_clean).await;
         }
@@ -245,7 +292,7 @@
         }
         self.needs_sync = false;
         let is_sent = self.send_to_member(vec![Request::Sync(Sync::new())]).await.is_ok();
-        if !is_sent || self.read_until_ready().await.is_err() {
+        if !is_sent || self.read_until_ready(AwaitedReply::Sync).await.is_err() {
             self.drop_connection();
             self.fail_block();
         }
--- a/src/caller/request_runner/errors.rs
+++ b/src/caller/request_runner/errors.rs
@@ -1,6 +1,7 @@
 //! Errors for requests that did not run, or may have run.
 
 use crate::group::exclusive_connection::ConnectionError;
+use crate::group::out_of_step;
 use crate::wire::sql_error::SqlError;
 use crate::wire::sql_state;
 
@@ -31,6 +32,13 @@
     SqlError::new(sql_state::SERIALIZATION_FAILURE, message)
 }
 
+/// Records that a reply belongs to no message that was sent, and returns the error for its
+/// connection.
+pub(super) fn out_of_step_error(while_doing: &str) -> ConnectionError {
+    out_of_step::record(while_doing);
+    ConnectionError::Lost("a reply of the member belongs to no request".to_owned())
+}
+
 /// Returns the error for a request that may have run.
 pub(super) fn unknown_outcome(error: &ConnectionError) -> SqlError {
     let reason = match error {
--- a/src/caller/request_runner/idempotent.rs
+++ b/src/caller/request_runner/idempotent.rs
@@ -50,14 +50,16 @@
         };
         if status != Some(TransactionStatus::Transaction) {
             self.settings.request_id = None;
-            let _ = self.command("ROLLBACK").await;
+            if self.command("ROLLBACK", false).await.is_err() {
+                self.drop_connection();
+            }
             return Ok(AttemptOutcome::Done(Some(TransactionStatus::Idle)));
         }
         let tag = match &deferred {
             Some(Reply::CommandComplete(complete)) => complete.tag.clone(),
             _ => String::new(),
         };
-        match self.command(&format!("{}; COMMIT", request.store_tag_sql(&tag))).await {
+        match self.command(&format!("{}; COMMIT", request.store_tag_sql(&tag)), false).await {
             Ok(_) => {
                 self.settings.request_id = None;
                 if let Some(deferred) = deferred {
@@ -97,10 +99,15 @@
         // The commit of the repeat has a later log position than that of the first run. Once a
         // majority has received it, the first run is durable too.
         let sql = format!("{}; {}", request.count_repeat_sql(), request.lookup_sql());
-        let rows = match self.command(&sql).await {
+        let rows = match self.command(&sql, false).await {
             Ok(rows) => rows,
-            Err(CommandError::Sql(error)) => return Ok(Err(error)),
-            Err(CommandError::ConnectionFailed(error)) => return Ok(Err(unknown_outcome(&error))),
+            Err(failure) => {
+                self.drop_connection();
+                return Ok(Err(match failure {
+                    CommandError::Sql(error) => error,
+                    CommandError::ConnectionFailed(error) => unknown_outcome(&error),
+                }));
+            }
         };
         self.release_connection().await;
         let [row] = rows.as_slice() else {
@@ -142,14 +149,16 @@
         error: SqlError,
         request: Option<&RequestId>,
     ) -> AttemptOutcome {
-        let _ = self.command("ROLLBACK").await;
+        let _ = self.command("ROLLBACK", false).await;
         match (error.code.as_str(), request) {
             (UNIQUE_VIOLATION, Some(_)) => AttemptOutcome::Duplicate,
-            (UNDEFINED_TABLE, Some(_)) => match self.command(request_id::CREATE_TABLE_SQL).await {
-                // This code exempts the retry from `MAX_ATTEMPTS`.
-                Ok(_) => AttemptOutcome::NotRun(SqlError::new(sql_state::READ_ONLY, "not run")),
-                Err(_) => AttemptOutcome::NotRun(error),
-            },
+            (UNDEFINED_TABLE, Some(_)) => {
+                match self.command(request_id::CREATE_TABLE_SQL, false).await {
+                    // This code exempts the retry from `MAX_ATTEMPTS`.
+                    Ok(_) => AttemptOutcome::NotRun(SqlError::new(sql_state::READ_ONLY, "not run")),
+                    Err(_) => AttemptOutcome::NotRun(error),
+                }
+            }
             (sql_state::READ_ONLY, _) => AttemptOutcome::NotRun(error),
             _ => AttemptOutcome::Failed(error),
         }
--- a/src/group/exclusive_connection.rs
+++ b/src/group/exclusive_connection.rs
@@ -65,6 +65,10 @@
 /// Exclusive use of a connection to a member, direct or through another daemon.
 #[async_trait]
 pub trait ExclusiveConnection: Send {
+    /// Checks, while no reply is awaited, that none has arrived. After an error, the connection is
+    /// closed.
+    fn check_in_step(&mut self) -> Result<(), ConnectionError>;
+
     /// Sends messages and flushes them.
     async fn send(&mut self, messages: Vec<Request>) -> Result<(), ConnectionError>;
 
--- a/src/group/local_connection.rs
+++ b/src/group/local_connection.rs
@@ -120,6 +120,13 @@
 
 #[async_trait]
 impl ExclusiveConnection for LocalConnection {
+    fn check_in_step(&mut self) -> Result<(), ConnectionError> {
+        match self.connection()?.check_in_step() {
+            Ok(()) => Ok(()),
+            Err(error) => Err(self.drop_connection(error)),
+        }
+    }
+
     async fn send(&mut self, messages: Vec<Request>) -> Result<(), ConnectionError> {
         self.is_idle = false;
         match self.connection()?.send(messages).await {
--- a/src/group/member_connection.rs
+++ b/src/group/member_connection.rs
@@ -27,6 +27,9 @@
 /// Number of columns in the status row that control procedures return.
 const STATUS_COLUMNS: usize = 12;
 
+/// Starts of the names of parameters that are parts of replies.
+const REPLY_PARAMETERS: [&str; 2] = ["group.", "snipehead."];
+
 /// Address and credentials for connections to a member.
 #[derive(Clone)]
 pub struct ConnectOptions {
@@ -107,6 +110,30 @@
         }
     }
 
+    /// Checks, while no reply is awaited, that none has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection is lost or out of step; it must then be closed.
+    pub fn check_in_step(&mut self) -> Result<(), MemberError> {
+        while let Some(received) = self.client.next().now_or_never() {
+            match received {
+                Some(Ok(reply)) if !is_unsolicited(&reply) => {
+                    out_of_step::record("between requests");
+                    return Err(unreachable_error("a message of the member belongs to no request"));
+                }
+                Some(Ok(Reply::ErrorResponse(response))) => {
+                    let error = SqlError::from_response(&response);
+                    return Err(unreachable_error(&error.to_string()));
+                }
+                Some(Ok(_)) => {}
+                Some(Err(error)) => return Err(unreachable_error(&error.to_string())),
+                None => return Err(unreachable_error("the member closed the connection")),
+            }
+        }
+        Ok(())
+    }
+
     /// Receives the next message.
     ///
     /// # Errors
@@ -168,12 +195,13 @@
     }
 }
 
-/// Returns whether a member may send a message at any time: a notice, the change of a parameter, a
-/// notification, or the error with which it closes the connection.
+/// Returns whether a member may send a message at any time: a notice, a notification, the change of
+/// a parameter that is no part of a reply, or the error with which it closes the connection.
 fn is_unsolicited(reply: &Reply) -> bool {
     match reply {
-        Reply::NoticeResponse(_) | Reply::ParameterStatus(_) | Reply::NotificationResponse(_) => {
-            true
+        Reply::NoticeResponse(_) | Reply::NotificationResponse(_) => true,
+        Reply::ParameterStatus(status) => {
+            !REPLY_PARAMETERS.iter().any(|prefix| status.name.starts_with(prefix))
         }
         Reply::ErrorResponse(response) => SqlError::from_response(response).severity == "FATAL",
         _ => false,
--- a/src/relay/relayed_connection.rs
+++ b/src/relay/relayed_connection.rs
@@ -48,6 +48,13 @@
 
 #[async_trait]
 impl ExclusiveConnection for RelayedConnection {
+    fn check_in_step(&mut self) -> Result<(), ConnectionError> {
+        match self.connection()?.check_in_step() {
+            Ok(()) => Ok(()),
+            Err(error) => Err(self.drop_connection(error)),
+        }
+    }
+
     async fn send(&mut self, messages: Vec<Request>) -> Result<(), ConnectionError> {
         let messages = messages.into_iter().map(escaped).collect();
         match self.connection()?.send(messages).await {
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -6,6 +6,7 @@
 mod charts;
 mod classification;
 mod elections;
+mod expected_replies;
 mod failover_timing;
 mod floors;
 mod limits;
