Keep texts within their literals on every setting

Cause: texts were put between quotes with only the quotes doubled, and a session could set standard_conforming_strings off. The member then reads a backslash as an escape: a request id such as \'; DELETE ... ended its literal, and the rest ran as SQL with the command tag. The parser of the proxy still read literals without escapes, so that a statement could hide in what it took for a text: refused calls passed, and a write could count as a read, which is sent again when its connection is lost.

Change: a text with a backslash is sent as an E'' literal, as libpq does. The setting must stay on, by SET, SET LOCAL or at the start. The stand-in understands E'' literals.

Ruled out: parsing with the setting of the session, since the parser has no such mode and SET LOCAL changes it within a query string.

The stand-in does not implement the setting; the tests read the SQL as a member would.

--- a/src/caller/classify.rs
+++ b/src/caller/classify.rs
@@ -94,6 +94,13 @@
     }
 }
 
+/// Returns whether a setting changes how the member reads literals. The parser would then take them
+/// for something else than the member does.
+fn is_string_setting(name: &ObjectName) -> bool {
+    let name = name.to_string().to_lowercase().replace('"', "");
+    name == "standard_conforming_strings"
+}
+
 fn refused(what: &str) -> StatementClass {
     StatementClass::Refused(format!("{what} is not supported through the proxy"))
 }
@@ -128,9 +135,14 @@
 
 fn classify_set(set: &Set) -> StatementClass {
     match set {
-        Set::SingleAssignment { scope: Some(sqlparser::ast::ContextModifier::Local), .. } => {
-            StatementClass::Write
-        }
+        Set::SingleAssignment {
+            scope: Some(sqlparser::ast::ContextModifier::Local),
+            variable,
+            ..
+        } => match is_string_setting(variable) {
+            true => refused("SET LOCAL standard_conforming_strings"),
+            false => StatementClass::Write,
+        },
         Set::SingleAssignment { variable, values, .. } => StatementClass::Set {
             name: variable.to_string().to_lowercase(),
             value: setting_value(values),
--- a/src/caller/request_id.rs
+++ b/src/caller/request_id.rs
@@ -6,6 +6,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::wire::sql_literal::text_literal;
+
 /// SQL that creates the table of request ids.
 pub const CREATE_TABLE_SQL: &str = "CREATE TABLE IF NOT EXISTS snipehead_requests (\
     workspace TEXT NOT NULL, request_id TEXT NOT NULL, digest TEXT NOT NULL, tag TEXT NOT NULL, \
@@ -43,9 +45,9 @@
     pub fn insert_sql(&self, at_unix_ms: u64) -> String {
         format!(
             "INSERT INTO snipehead_requests VALUES ({}, {}, {}, '', 0, {at_unix_ms})",
-            string_literal(&self.workspace),
-            string_literal(&self.id),
-            string_literal(&self.digest)
+            text_literal(&self.workspace),
+            text_literal(&self.id),
+            text_literal(&self.digest)
         )
     }
 
@@ -53,7 +55,7 @@
     pub fn store_tag_sql(&self, tag: &str) -> String {
         format!(
             "UPDATE snipehead_requests SET tag = {} WHERE {}",
-            string_literal(tag),
+            text_literal(tag),
             self.condition()
         )
     }
@@ -71,13 +73,8 @@
     fn condition(&self) -> String {
         format!(
             "workspace = {} AND request_id = {}",
-            string_literal(&self.workspace),
-            string_literal(&self.id)
+            text_literal(&self.workspace),
+            text_literal(&self.id)
         )
     }
 }
-
-/// Returns a text as an SQL string literal.
-fn string_literal(text: &str) -> String {
-    format!("'{}'", text.replace('\'', "''"))
-}
--- a/src/caller/session_settings.rs
+++ b/src/caller/session_settings.rs
@@ -7,12 +7,13 @@
 use crate::traffic::token::TokenContent;
 use crate::traffic::token::TokenSigner;
 use crate::wire::sql_error::SqlError;
+use crate::wire::sql_literal::text_literal;
 use crate::wire::sql_state;
 use snipehead_core::session_positions::SessionPositions;
 
 /// PostgreSQL settings that a session may change. They are set on each connection that the session
 /// uses, and reset before the connection is released.
-const FORWARDED: [&str; 12] = [
+const FORWARDED: [&str; 11] = [
     "bytea_output",
     "datestyle",
     "extra_float_digits",
@@ -20,7 +21,6 @@
     "intervalstyle",
     "lock_timeout",
     "search_path",
-    "standard_conforming_strings",
     "statement_timeout",
     "timezone",
     "transaction_isolation",
@@ -94,6 +94,7 @@
             }
             "snipehead.token" => self.apply_token(value.as_deref().unwrap_or_default(), signer)?,
             "client_encoding" | "names" => check_encoding(value.as_deref())?,
+            "standard_conforming_strings" => check_strings(value.as_deref())?,
             _ if IGNORED.contains(&name) => {}
             _ if FORWARDED.contains(&name) => match value {
                 Some(value) => drop(self.member_settings.insert(name.to_owned(), value)),
@@ -138,9 +139,8 @@
 
     /// Returns the statements that apply the settings to a connection.
     pub fn setup_sql(&self) -> String {
-        let set = |(name, value): (&String, &String)| {
-            format!("SET {name} = '{}'; ", value.replace('\'', "''"))
-        };
+        let set =
+            |(name, value): (&String, &String)| format!("SET {name} = {}; ", text_literal(value));
         self.member_settings.iter().map(set).collect()
     }
 
@@ -172,6 +172,18 @@
     }
 }
 
+/// Accepts only the way to read literals that the proxy itself uses to classify statements.
+fn check_strings(value: Option<&str>) -> Result<(), SqlError> {
+    let text = value.unwrap_or("on").to_lowercase();
+    match ["on", "true", "yes", "1"].contains(&text.as_str()) {
+        true => Ok(()),
+        false => {
+            let message = "standard_conforming_strings must stay on through the proxy";
+            Err(SqlError::new(sql_state::NOT_SUPPORTED, message))
+        }
+    }
+}
+
 fn check_encoding(value: Option<&str>) -> Result<(), SqlError> {
     let name = value.unwrap_or("UTF8").to_lowercase().replace('-', "");
     match ["utf8", "unicode"].contains(&name.as_str()) {
--- a/src/group/sql_member_control.rs
+++ b/src/group/sql_member_control.rs
@@ -12,6 +12,7 @@
 use super::member_control::MemberControl;
 use super::member_control::MemberError;
 use super::member_status::MemberStatus;
+use crate::wire::sql_literal::text_literal;
 
 /// Longest wait for the reply to a call, including the time to connect.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -63,12 +64,12 @@
     }
 
     async fn accept_term(&self, term: u64, promoter: &str) -> Result<ControlReply, MemberError> {
-        let sql = format!("CALL group_accept_term({term}, '{}')", escaped(promoter));
+        let sql = format!("CALL group_accept_term({term}, {})", text_literal(promoter));
         self.call(sql, CALL_TIMEOUT).await
     }
 
     async fn promote(&self, term: u64, promoter: &str) -> Result<ControlReply, MemberError> {
-        let sql = format!("CALL group_promote({term}, '{}')", escaped(promoter));
+        let sql = format!("CALL group_promote({term}, {})", text_literal(promoter));
         self.call(sql, ROLE_CHANGE_TIMEOUT).await
     }
 
@@ -85,8 +86,3 @@
         self.call(sql, CALL_TIMEOUT).await
     }
 }
-
-/// Escapes a text for use within single quotes.
-fn escaped(text: &str) -> String {
-    text.replace('\'', "''")
-}
--- a/src/stand_in/member/statement.rs
+++ b/src/stand_in/member/statement.rs
@@ -11,6 +11,8 @@
 use sqlparser::ast::Value as AstValue;
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
+use sqlparser::tokenizer::Token;
+use sqlparser::tokenizer::Tokenizer;
 
 use super::control_call::ControlCall;
 use crate::wire::sql_error::SqlError;
@@ -92,8 +94,20 @@
 /// Returns SQLSTATE 42601 if the text is not valid SQL or a control call is invalid, and 0A000 if a
 /// statement is not supported.
 pub fn parse(sql: &str) -> Result<Vec<MemberStatement>, SqlError> {
-    let parsed = Parser::parse_sql(&PostgreSqlDialect {}, sql)
-        .map_err(|error| SqlError::new(sql_state::SYNTAX_ERROR, error.to_string()))?;
+    let dialect = PostgreSqlDialect {};
+    let syntax_error = |reason: String| SqlError::new(sql_state::SYNTAX_ERROR, reason);
+    let tokens = Tokenizer::new(&dialect, sql)
+        .tokenize()
+        .map_err(|error| syntax_error(error.to_string()))?;
+    // SQLite has no literals with escapes.
+    let plain = |token: Token| match token {
+        Token::EscapedStringLiteral(text) => Token::SingleQuotedString(text),
+        other => other,
+    };
+    let parsed = Parser::new(&dialect)
+        .with_tokens(tokens.into_iter().map(plain).collect())
+        .parse_statements()
+        .map_err(|error| syntax_error(error.to_string()))?;
     parsed.iter().map(classify).collect()
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,5 +2,6 @@
 
 pub mod frontend_codec;
 pub mod sql_error;
+pub mod sql_literal;
 pub mod sql_state;
 pub mod text_row;
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -10,5 +10,6 @@
 mod failover_timing;
 mod floors;
 mod limits;
+mod literals;
 mod settings;
 mod versions;
