Keep names within the tags of metrics

Cause: the name of a workspace or group may be any text, and became a tag of its metrics as it was. A name with a line break passed for a metric of its own, such as a healthy lease, and one with a comma for the tag of another workspace.

Change: characters that separate the parts of a metric are replaced.

Ruled out: refusing such names in the document, since deployments may have them.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,7 +31,8 @@
         let socket = UdpSocket::bind(("0.0.0.0", 0))?;
         socket.set_nonblocking(true)?;
         let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
-        let client = StatsdClient::builder("snipehead", sink).with_tag("host", host).build();
+        let client =
+            StatsdClient::builder("snipehead", sink).with_tag("host", tag_value(host)).build();
         Ok(Self { client })
     }
 
@@ -63,7 +64,10 @@
                 ("group.has_primary", u64::from(group.primary.is_some())),
             ];
             for (name, value) in gauges {
-                self.client.gauge_with_tags(name, value).with_tag("group", &group.name).send();
+                self.client
+                    .gauge_with_tags(name, value)
+                    .with_tag("group", &tag_value(&group.name))
+                    .send();
             }
         }
         for workspace in &report.workspaces {
@@ -81,9 +85,15 @@
             for (name, value) in gauges {
                 self.client
                     .gauge_with_tags(name, value)
-                    .with_tag("workspace", &workspace.name)
+                    .with_tag("workspace", &tag_value(&workspace.name))
                     .send();
             }
         }
     }
 }
+
+/// Returns a name without the characters that separate the parts of a metric.
+fn tag_value(name: &str) -> String {
+    let separates = |character: char| ":|,#@".contains(character) || character.is_control();
+    name.replace(separates, "_")
+}
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -11,5 +11,6 @@
 mod floors;
 mod limits;
 mod literals;
+mod metrics;
 mod settings;
 mod versions;
