Number the requests for connections at a home

Cause: a daemon that requests a connection on an idle relay connection skipped whatever arrived before the answer, and took the first error or grant for it. The repeated error of an earlier statement became the answer, and the next statement of any session failed with it; a repeated grant would have brought an old floor.

Change: each request has a number, and the home sends it before its answer. Before the number, only the reply to an earlier release may arrive; otherwise the relay connection is closed, logged and counted, and the request is sent on another one. Nothing has run by then.

Ruled out: a look at idle relay connections before use, since the reply to a release may rightly be unread there, and a repeat may arrive later.

--- a/src/group/member_connection.rs
+++ b/src/group/member_connection.rs
@@ -50,8 +50,8 @@
 /// Relay connections use it too: the daemon at the other end then acts as the member.
 pub struct MemberConnection {
     client: PgWireClient,
-    /// Number of control calls so far, which is the marker of the latest one.
-    calls: u64,
+    /// Number of the latest control call or relay request.
+    number: u64,
     /// Log position that the connection's reads are known to include.
     pub applied: LogPosition,
 }
@@ -77,7 +77,7 @@
             .await
             .map_err(|_| unreachable_error("connecting to the member timed out"))?
             .map_err(|error| unreachable_error(&error.to_string()))?;
-        Ok(Self { client, calls: 0, applied: LogPosition::default() })
+        Ok(Self { client, number: 0, applied: LogPosition::default() })
     }
 
     /// Sends messages and flushes them.
@@ -147,14 +147,19 @@
         }
     }
 
+    /// Returns a number that is new on this connection.
+    pub fn next_number(&mut self) -> u64 {
+        self.number += 1;
+        self.number
+    }
+
     /// Calls a control procedure and reads the status row that it returns.
     ///
     /// # Errors
     ///
     /// Returns an error when the connection is lost or out of step, or the member refuses the call.
     pub async fn call(&mut self, sql: String) -> Result<ControlReply, MemberError> {
-        self.calls += 1;
-        let mut replies = CallReplies::new(&self.calls.to_string());
+        let mut replies = CallReplies::new(&self.next_number().to_string());
         let marker_sql = replies.marker_sql();
         let queries = [sql, marker_sql].map(|text| Request::Query(Query::new(text)));
         self.send(queries.into()).await?;
--- a/src/relay/relay_message.rs
+++ b/src/relay/relay_message.rs
@@ -27,6 +27,9 @@
 /// ParameterStatus in which a home describes the connection that it granted.
 const GRANT_PARAMETER: &str = "snipehead.lane";
 
+/// ParameterStatus in which a home names the request that it answers next.
+const ANSWERED_PARAMETER: &str = "snipehead.answered";
+
 /// ParameterStatus in which a home reports that no majority confirmed a commit in time.
 pub const NOT_ACKNOWLEDGED_PARAMETER: &str = "snipehead.not_acknowledged";
 
@@ -34,7 +37,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RelayCommand {
     /// Requests a connection to a member.
-    Acquire(ConnectionRequest),
+    Acquire(RelayRequest),
     /// Releases the connection to the member.
     Release {
         /// Whether the connection has no session state left, so that it may be reused.
@@ -42,6 +45,15 @@
     },
 }
 
+/// A request for a connection to a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayRequest {
+    /// Number of the request on its relay connection, which precedes the answer.
+    pub number: u64,
+    /// What is required of the connection.
+    pub request: ConnectionRequest,
+}
+
 /// Description of a connection that a home granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayGrant {
@@ -102,3 +114,19 @@
         }
     }
 }
+
+/// Encodes the number of the request that is answered next.
+pub fn answered_message(number: u64) -> Reply {
+    let name = ANSWERED_PARAMETER.to_owned();
+    Reply::ParameterStatus(ParameterStatus::new(name, number.to_string()))
+}
+
+/// Decodes the number of the request that is answered next. Returns `None` for any other message.
+pub fn answered_number(reply: &Reply) -> Option<u64> {
+    match reply {
+        Reply::ParameterStatus(status) if status.name == ANSWERED_PARAMETER => {
+            status.value.parse().ok()
+        }
+        _ => None,
+    }
+}
--- a/src/relay/relay_provider.rs
+++ b/src/relay/relay_provider.rs
@@ -14,6 +14,8 @@
 
 use super::relay_message::RelayCommand;
 use super::relay_message::RelayGrant;
+use super::relay_message::RelayRequest;
+use super::relay_message::answered_number;
 use super::relay_pool::RelayPool;
 use super::relayed_connection::RelayedConnection;
 use crate::group::exclusive_connection::ConnectionGrant;
@@ -21,6 +23,7 @@
 use crate::group::exclusive_connection::ConnectionRequest;
 use crate::group::member_connection::MemberConnection;
 use crate::group::member_control::MemberError;
+use crate::group::out_of_step;
 use crate::sync::lock;
 use crate::wire::sql_error::SqlError;
 use crate::wire::sql_state;
@@ -110,31 +113,42 @@
 }
 
 /// Requests a connection to a member on a relay connection. The reply to an earlier release may
-/// still be on its way; it is skipped.
+/// still be on its way; it is skipped. Anything else before the number of this request belongs to
+/// an earlier one.
 async fn request_on(
     mut connection: MemberConnection,
     request: &ConnectionRequest,
 ) -> Result<(MemberConnection, Result<RelayGrant, SqlError>), MemberError> {
-    let sql = RelayCommand::Acquire(request.clone()).to_sql();
+    let number = connection.next_number();
+    let relay_request = RelayRequest { number, request: request.clone() };
+    let sql = RelayCommand::Acquire(relay_request).to_sql();
     connection.send(vec![Request::Query(Query::new(sql))]).await?;
+    let mut is_released = false;
+    let mut is_answered = false;
     let mut outcome = None;
     loop {
         let reply = connection.receive().await?;
-        if let Some(grant) = RelayGrant::from_message(&reply) {
-            outcome = Some(Ok(grant));
-        }
-        match reply {
-            Reply::ErrorResponse(response) => {
+        let grant = RelayGrant::from_message(&reply);
+        match (reply, grant) {
+            (reply, _) if !is_answered && answered_number(&reply) == Some(number) => {
+                is_answered = true;
+            }
+            (Reply::ReadyForQuery(_), _) if !is_answered && !is_released => is_released = true,
+            (_, Some(grant)) if is_answered && outcome.is_none() => outcome = Some(Ok(grant)),
+            (Reply::ErrorResponse(response), _) if is_answered && outcome.is_none() => {
                 outcome = Some(Err(SqlError::from_response(&response)));
             }
-            Reply::ReadyForQuery(_) => {
-                if let Some(outcome) = outcome {
-                    return Ok((connection, outcome));
-                }
+            (Reply::ReadyForQuery(_), _) if outcome.is_some() => break,
+            _ => {
+                out_of_step::record("relay request");
+                let reason = "a message of the home belongs to no request".to_owned();
+                return Err(MemberError::Unreachable(reason));
             }
-            _ => {}
         }
     }
+    outcome
+        .map(|outcome| (connection, outcome))
+        .ok_or_else(|| MemberError::Unreachable("the home did not answer the request".to_owned()))
 }
 
 #[async_trait]
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -35,6 +35,7 @@
 use super::relay_message::RELAY_USER;
 use super::relay_message::RelayCommand;
 use super::relay_message::RelayGrant;
+use super::relay_message::answered_message;
 use crate::group::exclusive_connection::ConnectionError;
 use crate::group::exclusive_connection::ConnectionProvider;
 use crate::group::exclusive_connection::ConnectionRequest;
@@ -202,7 +203,9 @@
             let Some(RelayCommand::Acquire(request)) = RelayCommand::parse(&query.query) else {
                 return None;
             };
-            match self.grant(request, cancel).await {
+            let outcome = self.grant(request.request, cancel).await;
+            wire.feed(answered_message(request.number)).await.ok()?;
+            match outcome {
                 Ok((connection, grant)) => {
                     self.lent_connections.fetch_add(1, Ordering::SeqCst);
                     let served = relay_messages(wire, connection, grant, cancel).await;
--- a/tests/integration/replies.rs
+++ b/tests/integration/replies.rs
@@ -154,3 +154,31 @@
         tokio::time::sleep(Duration::from_millis(300)).await;
     }
 }
+
+/// Guards against the repeated reply to an earlier statement that is taken as the answer to a
+/// request for a connection at a home: a statement failed with the error of an earlier one.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_reply_over_a_relay_is_not_taken_as_the_answer_to_the_next_request() {
+    let cluster = Cluster::start_with_plan(DeploymentPlan {
+        hosts: 2,
+        defaults: json!({ "rate_per_s": 100_000, "burst": 100_000, "homes_per_group": 1 }),
+        ..DeploymentPlan::small()
+    })
+    .await;
+    let repeat = Fault { repeats_response_after_ms: Some(50), ..Fault::default() };
+    for daemon in 0..2 {
+        let sql = cluster.connect(daemon).await;
+        for _ in 0..5 {
+            sql.run_ok("BEGIN").await;
+            sql.run_ok("SELECT 11").await;
+            cluster.set_fault_between_daemons(0, 1, repeat);
+            let outcome = sql.run("SELECT id FROM nowhere").await;
+            assert!(matches!(&outcome, Outcome::Error(code, _) if code == "42P01"), "{outcome:?}");
+            sql.run_ok("ROLLBACK").await;
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            cluster.clear_faults();
+            assert_eq!(sql.run_ok("SELECT 22").await, ["22"], "through daemon {daemon}");
+            assert_eq!(sql.run_ok("SELECT 33").await, ["33"], "through daemon {daemon}");
+        }
+    }
+}
