--- a/src/group/member_connection.rs
+++ b/src/group/member_connection.rs
@@ -14,17 +14,22 @@
 use pgwire::messages::simplequery::Query;
 use pgwire::tokio::client::PgWireClient;
 
+use super::call_replies::CallProgress;
+use super::call_replies::CallReplies;
 use super::log_position::LogPosition;
 use super::member_control::ControlReply;
 use super::member_control::MemberError;
 use super::member_status::MemberStatus;
+use super::out_of_step;
 use super::term_end::TermEnd;
 use crate::wire::sql_error::SqlError;
-use crate::wire::text_row::text_values;
 
 /// Number of columns in the status row that control procedures return.
 const STATUS_COLUMNS: usize = 12;
 
+/// Starts of the names of parameters that are parts of replies.
+const REPLY_PARAMETERS: [&str; 2] = ["group.", "snipehead."];
+
 /// Address and credentials for connections to a member.
 #[derive(Clone)]
 pub struct ConnectOptions {
@@ -45,6 +50,8 @@
 /// Relay connections use it too: the daemon at the other end then acts as the member.
 pub struct MemberConnection {
     client: PgWireClient,
+    /// Number of the latest control call or relay request.
+    number: u64,
     /// Log position that the connection's reads are known to include.
     pub applied: LogPosition,
 }
@@ -70,7 +77,7 @@
             .await
             .map_err(|_| unreachable_error("connecting to the member timed out"))?
             .map_err(|error| unreachable_error(&error.to_string()))?;
-        Ok(Self { client, applied: LogPosition::default() })
+        Ok(Self { client, number: 0, applied: LogPosition::default() })
     }
 
     /// Sends messages and flushes them.
@@ -90,7 +97,41 @@
 
     /// Returns whether an idle connection was closed or has received an unsolicited message.
     pub fn is_unusable(&mut self) -> bool {
-        self.client.next().now_or_never().is_some()
+        match self.client.next().now_or_never() {
+            None => false,
+            Some(received) => {
+                if let Some(Ok(reply)) = received
+                    && !is_unsolicited(&reply)
+                {
+                    out_of_step::record("idle");
+                }
+                true
+            }
+        }
+    }
+
+    /// Checks, while no reply is awaited, that none has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection is lost or out of step; it must then be closed.
+    pub fn check_in_step(&mut self) -> Result<(), MemberError> {
+        while let Some(received) = self.client.next().now_or_never() {
+            match received {
+                Some(Ok(reply)) if !is_unsolicited(&reply) => {
+                    out_of_step::record("between requests");
+                    return Err(unreachable_error("a message of the member belongs to no request"));
+                }
+                Some(Ok(Reply::ErrorResponse(response))) => {
+                    let error = SqlError::from_response(&response);
+                    return Err(unreachable_error(&error.to_string()));
+                }
+                Some(Ok(_)) => {}
+                Some(Err(error)) => return Err(unreachable_error(&error.to_string())),
+                None => return Err(unreachable_error("the member closed the connection")),
+            }
+        }
+        Ok(())
     }
 
     /// Receives the next message.
@@ -106,23 +147,34 @@
         }
     }
 
+    /// Returns a number that is new on this connection.
+    pub fn next_number(&mut self) -> u64 {
+        self.number += 1;
+        self.number
+    }
+
     /// Calls a control procedure and reads the status row that it returns.
     ///
     /// # Errors
     ///
-    /// Returns an error when the connection is lost or the member refuses the call.
+    /// Returns an error when the connection is lost or out of step, or the member refuses the call.
     pub async fn call(&mut self, sql: String) -> Result<ControlReply, MemberError> {
-        self.send(vec![Request::Query(Query::new(sql))]).await?;
-        let mut outcome = Err(unreachable_error("the member returned no status row"));
+        let mut replies = CallReplies::new(&self.next_number().to_string());
+        let marker_sql = replies.marker_sql();
+        let queries = [sql, marker_sql].map(|text| Request::Query(Query::new(text)));
+        self.send(queries.into()).await?;
         loop {
-            match self.receive().await? {
-                Reply::DataRow(row) => outcome = parse_control_reply(&text_values(&row)),
-                Reply::ErrorResponse(response) => {
-                    let error = SqlError::from_response(&response);
-                    outcome = Err(MemberError::Refused(error.to_string()));
+            match replies.accept(&self.receive().await?) {
+                CallProgress::Incomplete => {}
+                CallProgress::Complete(Ok(values)) => return parse_control_reply(&values),
+                CallProgress::Complete(Err(error)) => {
+                    return Err(MemberError::Refused(error.to_string()));
+                }
+                CallProgress::Closing(error) => return Err(unreachable_error(&error.to_string())),
+                CallProgress::OutOfStep => {
+                    out_of_step::record("control call");
+                    return Err(unreachable_error("a reply does not belong to the control call"));
                 }
-                Reply::ReadyForQuery(_) => return outcome,
-                _ => {}
             }
         }
     }
@@ -148,6 +200,19 @@
     }
 }
 
+/// Returns whether a member may send a message at any time: a notice, a notification, the change of
+/// a parameter that is no part of a reply, or the error with which it closes the connection.
+fn is_unsolicited(reply: &Reply) -> bool {
+    match reply {
+        Reply::NoticeResponse(_) | Reply::NotificationResponse(_) => true,
+        Reply::ParameterStatus(status) => {
+            !REPLY_PARAMETERS.iter().any(|prefix| status.name.starts_with(prefix))
+        }
+        Reply::ErrorResponse(response) => SqlError::from_response(response).severity == "FATAL",
+        _ => false,
+    }
+}
+
 fn unreachable_error(reason: &str) -> MemberError {
     MemberError::Unreachable(reason.to_owned())
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control::handle::ControlHandle;
+use crate::group::out_of_step;
 use crate::peer::rpc::DaemonReport;
 
 /// Interval between reports.
@@ -30,7 +31,8 @@
         let socket = UdpSocket::bind(("0.0.0.0", 0))?;
         socket.set_nonblocking(true)?;
         let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
-        let client = StatsdClient::builder("snipehead", sink).with_tag("host", host).build();
+        let client =
+            StatsdClient::builder("snipehead", sink).with_tag("host", tag_value(host)).build();
         Ok(Self { client })
     }
 
@@ -53,6 +55,7 @@
         let _ = self.client.gauge("configuration_version", report.version);
         let _ = self.client.gauge("lease_left_ms", report.lease_left_ms);
         let _ = self.client.gauge("callers", report.callers);
+        let _ = self.client.gauge("connections_out_of_step", out_of_step::count());
         for group in &report.groups {
             let gauges = [
                 ("group.term", group.term),
@@ -61,7 +64,10 @@
                 ("group.has_primary", u64::from(group.primary.is_some())),
             ];
             for (name, value) in gauges {
-                self.client.gauge_with_tags(name, value).with_tag("group", &group.name).send();
+                self.client
+                    .gauge_with_tags(name, value)
+                    .with_tag("group", &tag_value(&group.name))
+                    .send();
             }
         }
         for workspace in &report.workspaces {
@@ -79,9 +85,15 @@
             for (name, value) in gauges {
                 self.client
                     .gauge_with_tags(name, value)
-                    .with_tag("workspace", &workspace.name)
+                    .with_tag("workspace", &tag_value(&workspace.name))
                     .send();
             }
         }
     }
 }
+
+/// Returns a name without the characters that separate the parts of a metric.
+fn tag_value(name: &str) -> String {
+    let separates = |character: char| ":|,#@".contains(character) || character.is_control();
+    name.replace(separates, "_")
+}
--- a/src/stand_in/member/statement.rs
+++ b/src/stand_in/member/statement.rs
@@ -3,9 +3,16 @@
 use rusqlite::types::Value;
 use serde::Deserialize;
 use serde::Serialize;
+use sqlparser::ast::Expr;
+use sqlparser::ast::Query;
+use sqlparser::ast::SelectItem;
+use sqlparser::ast::SetExpr;
 use sqlparser::ast::Statement;
+use sqlparser::ast::Value as AstValue;
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
+use sqlparser::tokenizer::Token;
+use sqlparser::tokenizer::Tokenizer;
 
 use super::control_call::ControlCall;
 use crate::wire::sql_error::SqlError;
@@ -63,6 +70,8 @@
     Setting(&'static str),
     /// Calls a procedure of the control interface of the member.
     Control(ControlCall),
+    /// Returns a text that the statement contains, and reads no data.
+    Constant,
     /// Reads data.
     Read,
     /// Writes data or changes the schema. Holds the start of the command tag.
@@ -85,8 +94,20 @@
 /// Returns SQLSTATE 42601 if the text is not valid SQL or a control call is invalid, and 0A000 if a
 /// statement is not supported.
 pub fn parse(sql: &str) -> Result<Vec<MemberStatement>, SqlError> {
-    let parsed = Parser::parse_sql(&PostgreSqlDialect {}, sql)
-        .map_err(|error| SqlError::new(sql_state::SYNTAX_ERROR, error.to_string()))?;
+    let dialect = PostgreSqlDialect {};
+    let syntax_error = |reason: String| SqlError::new(sql_state::SYNTAX_ERROR, reason);
+    let tokens = Tokenizer::new(&dialect, sql)
+        .tokenize()
+        .map_err(|error| syntax_error(error.to_string()))?;
+    // SQLite has no literals with escapes.
+    let plain = |token: Token| match token {
+        Token::EscapedStringLiteral(text) => Token::SingleQuotedString(text),
+        other => other,
+    };
+    let parsed = Parser::new(&dialect)
+        .with_tokens(tokens.into_iter().map(plain).collect())
+        .parse_statements()
+        .map_err(|error| syntax_error(error.to_string()))?;
     parsed.iter().map(classify).collect()
 }
 
@@ -100,6 +121,7 @@
         Statement::Set(_) | Statement::Reset(_) => StatementKind::Setting("SET"),
         Statement::Discard { .. } => StatementKind::Setting("DISCARD ALL"),
         Statement::Call(function) => StatementKind::Control(ControlCall::parse(function)?),
+        Statement::Query(query) if is_constant(query) => StatementKind::Constant,
         Statement::Query(_) => StatementKind::Read,
         Statement::Insert(_) => StatementKind::Write("INSERT 0"),
         Statement::Update { .. } => StatementKind::Write("UPDATE"),
@@ -118,3 +140,14 @@
     };
     Ok(MemberStatement { sql: statement.to_string(), kind })
 }
+
+/// Returns whether a query consists of one text only, such as `SELECT 'text'`.
+fn is_constant(query: &Query) -> bool {
+    let SetExpr::Select(select) = query.body.as_ref() else {
+        return false;
+    };
+    let [SelectItem::UnnamedExpr(Expr::Value(value))] = select.projection.as_slice() else {
+        return false;
+    };
+    select.from.is_empty() && matches!(value.value, AstValue::SingleQuotedString(_))
+}
