Prove the start of transactions, and close gaps in matching replies

A review of the fix found that one unsigned reply could still pass for another: the repeat of a BEGIN's reply hid the refusal of the next BEGIN on the connection. Its STORE then ran outside a transaction, was committed, and the refusal was delivered as its own ('rolled back: busy').

The start of a transaction now counts only with a log position beyond that of every earlier start on the connection; an idle connection on which this cannot be so is not used for one. Transactions are rolled back by closing their connection, since the reply to a ROLLBACK proves nothing. Further gaps of the same class, each found by the review: writes and commits have no rows, so that a cut repeat before their reply is noticed; a connection is checked before each statement of a transaction, and what was not sent is told as ABORTED; an unsigned reply is skipped only if there was one to repeat, which failed after the whole time-out before; rows that break off no longer make the member suspected.

Ruled out: one transaction for each connection (a handshake for each), and a second command after BEGIN (two repeats pass it).

--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -11,6 +11,7 @@
 use crate::outcome::BlockState;
 use crate::outcome::Refusal;
 use crate::reply_mismatch::Mismatch;
+use crate::statement::Access;
 use crate::statement::PreparedShape;
 
 /// Identity of one incarnation of a member, from its start to its end.
@@ -89,6 +90,8 @@
     Run {
         /// Caller's id of the statement.
         id: Name,
+        /// Whether it may write.
+        access: Access,
         /// Statement to run.
         body: CommandBody,
         /// Position that the member's log must include.
@@ -99,8 +102,6 @@
         /// Caller's id of the statement.
         id: Name,
     },
-    /// Rolls the transaction back.
-    Rollback,
     /// Sets a session value.
     Set {
         /// Name of the value.
@@ -195,14 +196,16 @@
     ) -> Result<Box<dyn MemberConnection>, MemberError>;
 }
 
-/// What an idle connection shows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum IdleState {
-    /// Nothing has arrived.
-    Quiet,
-    /// Something has arrived, though no command waits for a reply.
-    HasInput,
-    /// The connection has ended.
+/// What has arrived on a connection on which no command waits for a reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum IdleInput {
+    /// Nothing.
+    Nothing,
+    /// A whole reply.
+    Reply(MemberReply),
+    /// Something else, such as a part of a reply.
+    Unreadable,
+    /// The end of the connection.
     Closed,
 }
 
@@ -221,11 +224,12 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when no whole reply was received.
+    /// Returns an error when no whole reply was received; [`Mismatch::CutOff`] if only a part of its
+    /// rows was.
     async fn receive(&mut self) -> Result<MemberReply, MemberError>;
 
-    /// Returns what a connection shows on which no command waits for a reply.
-    fn idle_state(&mut self) -> IdleState;
+    /// Takes what has arrived while no command waits for a reply.
+    fn take_input(&mut self) -> IdleInput;
 
     /// Decodes the replication state from the reply to a status command.
     fn decode_status(&self, reply: &MemberReply) -> Option<MemberStatus>;
--- a/core/src/reply_mismatch.rs
+++ b/core/src/reply_mismatch.rs
@@ -5,18 +5,22 @@
 pub enum Mismatch {
     /// It repeats the reply to an earlier command, or follows such a repeat.
     Repeated,
+    /// It lacks a signature, though the command's reply is signed.
+    Unsigned,
     /// It is signed, though the command's reply is not.
     Signed,
     /// It has rows that the command does not return, or lacks those that it does.
     Rows,
     /// The transaction state after it is not the one that the command leads to.
     State,
-    /// It is a failure, as an earlier reply was, so that it may be a repeat of that one.
-    SecondFailure,
+    /// Nothing in it tells it from an earlier reply, so that it may be a repeat of that one.
+    Unproven,
     /// It is the failure of a command that cannot fail.
     Failure,
     /// It arrived while no command waited for a reply.
     Unasked,
+    /// Its rows break off.
+    CutOff,
 }
 
 impl Mismatch {
@@ -24,12 +28,14 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Repeated => "repeated",
+            Self::Unsigned => "unsigned",
             Self::Signed => "signed",
             Self::Rows => "rows",
             Self::State => "state",
-            Self::SecondFailure => "second_failure",
+            Self::Unproven => "unproven",
             Self::Failure => "failure",
             Self::Unasked => "unasked",
+            Self::CutOff => "cut_off",
         }
     }
 }
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -121,7 +121,7 @@
     /// # Errors
     ///
     /// Returns why the replies are incomplete. The connection is closed then, and the member is
-    /// suspected of having failed.
+    /// suspected of having failed unless it sent something that does not fit.
     pub(super) async fn exchange(
         &mut self,
         commands: &[MemberCommand],
@@ -159,6 +159,22 @@
         }
     }
 
+    /// Checks the connection before it is used again without having been in the pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the connection cannot be used. Nothing was sent.
+    pub(super) fn check_idle(&mut self, id: &str) -> Result<(), MemberError> {
+        let Some(connection) = self.connection.as_mut() else {
+            return Err(MemberError::Closed("an earlier exchange failed".to_owned()));
+        };
+        let checked = connection.inner.discard_repeats();
+        if let Err(MemberError::Mismatched(mismatch)) = &checked {
+            self.service.report_mismatch(&self.member.key, id, *mismatch);
+        }
+        checked
+    }
+
     /// Returns the connection to the pool, or closes it if it may not be used again.
     pub(super) fn return_to_pool(mut self) {
         if let Some(connection) = self.connection.take_if(|kept| kept.inner.is_reusable()) {
--- a/core/src/service/connection.rs
+++ b/core/src/service/connection.rs
@@ -92,7 +92,8 @@
                 arguments: arguments.clone(),
             },
         };
-        commands.push(MemberCommand::Run { id: statement.id.clone(), body, floor });
+        let (id, access) = (statement.id.clone(), statement.access);
+        commands.push(MemberCommand::Run { id, access, body, floor });
         commands
     }
 
--- a/core/src/service/exchange.rs
+++ b/core/src/service/exchange.rs
@@ -33,8 +33,8 @@
                 }
             }
             // Members that are busy or behind fail often without repeating anything.
-            Err(MemberError::Mismatched(Mismatch::SecondFailure)) => {
-                self.context.metrics.increment("member_connections_closed_after_failures");
+            Err(MemberError::Mismatched(Mismatch::Unproven)) => {
+                self.context.metrics.increment("member_replies_unproven");
             }
             Err(MemberError::Mismatched(mismatch)) => self.report_mismatch(member, id, *mismatch),
             Err(_) => {}
--- a/core/src/service/idle_transactions.rs
+++ b/core/src/service/idle_transactions.rs
@@ -4,10 +4,8 @@
 use std::time::Duration;
 
 use crate::clock::now_ms;
-use crate::member::MemberCommand;
 use crate::member::MemberKey;
 use crate::name::Name;
-use crate::outcome::BlockState;
 use crate::service::OwnedService;
 use crate::service::borrowed::BorrowedConnection;
 use crate::service::pool::WritePermit;
@@ -22,12 +20,9 @@
 /// Interval of the search for abandoned transactions.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Longest wait for a member to confirm a rollback, in milliseconds. After it the connection is
-/// closed, which rolls back as well.
-const ROLLBACK_WAIT_MS: u64 = 200;
-
-/// An open transaction and the connection that it runs on. Dropping it closes the connection,
-/// which rolls the transaction back.
+/// An open transaction and the connection that it runs on. Dropping it closes the connection, which
+/// rolls the transaction back. The reply to a rollback would not prove that it is not the repeat of an
+/// earlier one.
 pub(super) struct MemberTransaction {
     /// Connection on which the transaction is open.
     pub(super) borrowed: BorrowedConnection,
@@ -93,9 +88,7 @@
                 "their primary is being replaced, so they can no longer be committed"
             );
         }
-        for transaction in revoked {
-            self.roll_back(transaction);
-        }
+        drop(revoked);
     }
 
     /// Returns the number of idle transactions that may write at `member`.
@@ -111,24 +104,6 @@
         drop(dropped);
     }
 
-    /// Rolls a transaction back in the background, and returns its connection to the pool once the
-    /// member has confirmed.
-    pub(super) fn roll_back(self: &Arc<Self>, mut transaction: MemberTransaction) {
-        self.tasks.spawn(async move {
-            let deadline_at_ms = now_ms() + ROLLBACK_WAIT_MS;
-            let exchanged = transaction
-                .borrowed
-                .exchange(&[MemberCommand::Rollback], deadline_at_ms, true)
-                .await;
-            match exchanged.as_deref() {
-                Ok([reply]) if reply.result.is_ok() && reply.block == BlockState::Idle => {
-                    transaction.borrowed.return_to_pool();
-                }
-                _ => drop(transaction),
-            }
-        });
-    }
-
     /// Rolls back transactions that have been idle beyond the limit, until the service stops.
     pub(super) async fn drop_abandoned_transactions(self: Arc<Self>) {
         loop {
--- a/core/src/service/matched_connection.rs
+++ b/core/src/service/matched_connection.rs
@@ -1,6 +1,7 @@
 //! A connection to a member on which every reply is matched to its command.
 
-use crate::member::IdleState;
+use crate::log_position::LogPosition;
+use crate::member::IdleInput;
 use crate::member::MemberCommand;
 use crate::member::MemberConnection;
 use crate::member::MemberError;
@@ -56,10 +57,26 @@
         }
     }
 
-    /// Returns what the connection shows while no command waits for a reply. It must not be used
-    /// again unless it is quiet.
-    pub fn idle_state(&mut self) -> IdleState {
-        self.inner.idle_state()
+    /// Discards repeats that have arrived while no command waits for a reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection has ended, or something else has arrived. It must not be
+    /// used again then; nothing was sent.
+    pub fn discard_repeats(&mut self) -> Result<(), MemberError> {
+        loop {
+            match self.inner.take_input() {
+                IdleInput::Nothing => return Ok(()),
+                IdleInput::Reply(reply) => {
+                    self.matcher.check_unasked(&reply).map_err(MemberError::Mismatched)?;
+                }
+                IdleInput::Unreadable => return Err(MemberError::Mismatched(Mismatch::Unasked)),
+                IdleInput::Closed => {
+                    let reason = "the member closed an idle connection";
+                    return Err(MemberError::Closed(reason.to_owned()));
+                }
+            }
+        }
     }
 
     /// Returns whether the connection may be kept for other sessions. One whose member repeats
@@ -68,6 +85,12 @@
         self.matcher.repeats() == 0 && self.matcher.signatures() < MAX_SIGNATURES
     }
 
+    /// Returns whether a transaction can be started on the connection if the member's log has reached
+    /// `position`. The reply could be the repeat of an earlier one otherwise.
+    pub fn can_begin(&self, position: LogPosition) -> bool {
+        self.matcher.can_begin(position)
+    }
+
     /// Returns whether a further failure on the connection could be the repeat of an earlier one, so that
     /// the outcome of a write would be unknown.
     pub fn has_failed(&self) -> bool {
--- a/core/src/service/probe.rs
+++ b/core/src/service/probe.rs
@@ -6,7 +6,6 @@
 use futures::future::join_all;
 
 use crate::clock::now_ms;
-use crate::member::IdleState;
 use crate::member::MemberCommand;
 use crate::member::MemberEntry;
 use crate::member::MemberError;
@@ -68,7 +67,8 @@
         member: MemberEntry,
     ) -> (MemberEntry, Option<MatchedConnection>, ProbeResult) {
         if let Some(mut connection) = connection
-            && connection.idle_state() == IdleState::Quiet
+            && connection.discard_repeats().is_ok()
+            && connection.is_reusable()
         {
             let requesting = self.request_status(&member.key, &mut connection);
             let answered = tokio::time::timeout(PROBE_TIMEOUT, requesting).await;
@@ -136,7 +136,8 @@
         connection: &mut MatchedConnection,
     ) -> Result<ProbeResult, MemberError> {
         // A repeat of an earlier status would pass for the present one. The second command tells them
-        // apart: its reply is a status then.
+        // apart: its reply is a status then. Repeats of both replies, in their order and while the
+        // present ones are on their way, are not noticed.
         let commands = [MemberCommand::Status, MemberCommand::Reset];
         let replies = self.exchange(member, connection, &commands).await?;
         let Some(reply) = replies.first() else {
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -6,7 +6,6 @@
 
 use crate::clock::now_ms;
 use crate::log_position::LogPosition;
-use crate::member::IdleState;
 use crate::member::MemberCommand;
 use crate::member::MemberError;
 use crate::member::MemberKey;
@@ -262,18 +261,27 @@
         idle: Option<PooledConnection>,
     ) -> Option<PooledConnection> {
         let mut connection = idle?;
-        match connection.inner.idle_state() {
-            IdleState::Quiet => {
+        match connection.inner.discard_repeats() {
+            Ok(()) if !connection.inner.is_reusable() => {
+                self.report_mismatch(member, call.action.id(), Mismatch::Repeated);
+                None
+            }
+            Ok(()) => {
                 let may_be_in_doubt = needs_primary(call) && connection.inner.has_failed();
-                (!may_be_in_doubt).then_some(connection)
+                let can_begin = call.begin.is_none() || {
+                    let pool = lock(&self.pool);
+                    let known = pool.members().get(member).map(|member| member.position);
+                    connection.inner.can_begin(known.unwrap_or_default())
+                };
+                (can_begin && !may_be_in_doubt).then_some(connection)
             }
-            IdleState::HasInput => {
-                self.report_mismatch(member, call.action.id(), Mismatch::Unasked);
+            Err(MemberError::Mismatched(mismatch)) => {
+                self.report_mismatch(member, call.action.id(), mismatch);
                 None
             }
             // A write on it would have an unknown outcome.
-            IdleState::Closed => {
-                self.suspect_member(member, "the member closed an idle connection");
+            Err(error) => {
+                self.suspect_member(member, &error.to_string());
                 None
             }
         }
--- a/core/src/service/transactions.rs
+++ b/core/src/service/transactions.rs
@@ -106,15 +106,15 @@
             return refusal_reply(Failure::Aborted, "this node no longer owns the service");
         }
         if timed.call.action == CallAction::Rollback {
-            self.roll_back(transaction);
+            drop(transaction);
             return CallReply::Done { answer: Answer::local(), transaction: None };
         }
         let _running = RunningTransaction::new(self.clone());
         self.run_action(&timed, Some(id), transaction, None).await
     }
 
-    /// Runs a statement or commit in an open transaction. It is repeated until the deadline while
-    /// the member is busy and keeps the transaction open.
+    /// Runs a statement or commit in an open transaction. It is repeated once if the member is busy and
+    /// keeps the transaction open.
     async fn run_action(
         self: &Arc<Self>,
         timed: &TimedCall,
@@ -136,10 +136,13 @@
             if transaction.has_written || is_write(&timed.call.action) {
                 // Nothing is kept: a transaction whose COMMIT was not sent can only be rolled back.
                 if !self.is_permitted(transaction.write_permit.as_ref()) {
-                    self.roll_back(transaction);
+                    drop(transaction);
                     return refusal_reply(Failure::Aborted, PRIMARY_REPLACED);
                 }
             }
+            if let Err(error) = transaction.borrowed.check_idle(timed.call.action.id()) {
+                return refusal_reply(Failure::Aborted, &format!("rolled back: {error}"));
+            }
             let commands = action_commands(timed, &mut transaction);
             let may_abandon =
                 !matches!(timed.call.action, CallAction::Commit { .. }) || !transaction.has_written;
@@ -238,7 +241,7 @@
                     self.suspect_member(&transaction.borrowed.member.key, refusal.failure.label());
                 }
                 let detail = format!("rolled back: {} {}", refusal.failure.label(), refusal.detail);
-                self.roll_back(transaction);
+                drop(transaction);
                 refusal_reply(Failure::Aborted, &detail)
             }
         }
@@ -259,6 +262,6 @@
             commands.push(MemberCommand::Commit { id: id.clone() });
             commands
         }
-        CallAction::Rollback => vec![MemberCommand::Rollback],
+        CallAction::Rollback => Vec::new(),
     }
 }
