Keep acknowledged commits when a primary is adopted again

Cause: the same primary was adopted again by the status of its last probe, from before the writes. Its position was below the newest acknowledged one, so the commit history was replaced by one that began at the old position.

Change: within a term, only a report requested after the last acknowledgement can replace acknowledged commits. If the last report of a leader lacks some, it is asked again on a new connection, once the permits for writes are revoked. Only if that reply still lacks them, they are lost and the history starts at what the primary has, as before. A leader that is too busy to report is adopted with the history so far; one that fails, or no longer leads the term, is not adopted. A newer term starts a new history, as before. An older one never does.

Ruled out: telling a loss by the incarnation of the member. Members are not told which incarnation is meant when a connection opens, so a restarted one can acknowledge commits under its former key, and after a report under its new one. A term has one primary, so another leader of the same term is not expected; the rule does not depend on it. The other uses of older reports were read, without a run. A position that record_status lowers makes reads avoid a replica, and moves and promotions wait. The wait for a successor, and the promotion, compare with the newest acknowledged position, which is now kept.

The reply of a replica from before it dropped the end of its log can raise its recorded position again, until the next report.

--- a/core/src/commit_history.rs
+++ b/core/src/commit_history.rs
@@ -31,6 +31,23 @@
         Self { term, base, entries: VecDeque::new(), newest: base }
     }
 
+    /// Returns the history under a primary that is adopted, given the history so far.
+    ///
+    /// The position that the primary reported may be older than commits acknowledged since. Within
+    /// a term it replaces them only if it is current, which means that it was requested after the
+    /// last of them: then the primary has lost them, for instance in a restart.
+    pub fn adopt(former: Option<Self>, term: u64, reported: LogPosition, is_current: bool) -> Self {
+        let is_lost = |history: &Self| is_current && history.exceeds(term, reported);
+        former
+            .filter(|history| history.term >= term && !is_lost(history))
+            .unwrap_or_else(|| Self::new(term, reported))
+    }
+
+    /// Returns whether a primary of the same term reported less than was acknowledged.
+    pub fn exceeds(&self, term: u64, reported: LogPosition) -> bool {
+        self.term == term && reported < self.newest
+    }
+
     /// Records that a commit at `position` is about to be acknowledged at `now_ms`.
     pub fn acknowledge(&mut self, now_ms: u64, position: LogPosition) {
         self.newest = self.newest.max(position);
--- a/core/src/service/probe.rs
+++ b/core/src/service/probe.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Probes a member on a new connection, so that the report cannot be a repeat of an earlier one.
+    pub(super) async fn probe_anew(&self, member: MemberEntry) -> ProbeResult {
+        let (member, _, result) = self.probe_one(None, member).await;
+        self.record_probe(&member, &result);
+        result
+    }
+
     /// Probes a member on its open connection. If there is none or that fails, it opens a new one.
     async fn probe_one(
         &self,
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -9,12 +9,14 @@
 use crate::member::MemberCommand;
 use crate::member::MemberEntry;
 use crate::member::MemberKey;
+use crate::member::MemberStatus;
 use crate::member::PromotionError;
 use crate::service::OwnedService;
 use crate::service::matched_connection::MatchedConnection;
 use crate::service::monitor::MONITOR_INTERVAL;
 use crate::service::monitor::URGENT_INTERVAL;
 use crate::service::probe::ProbeConnections;
+use crate::service::probe::ProbeResult;
 use crate::service::probe::SYSTEM_TENANT;
 use crate::succession::Leadership;
 use crate::sync::lock;
@@ -53,6 +55,10 @@
     pub(super) async fn adopt_primary(self: &Arc<Self>, leader: &MemberKey) -> bool {
         let Some(status) = self.status_of(leader) else { return false };
         self.use_primary(None);
+        // From here on no commit is acknowledged.
+        let Some((status, is_current)) = self.status_for_adoption(leader, status).await else {
+            return false;
+        };
         if lock(&self.succession).must_record(status.term)
             && !self.record_served(leader, status.term).await
         {
@@ -61,12 +67,9 @@
         }
         {
             let mut state = lock(&self.state);
-            let is_same_term = state.history.as_ref().is_some_and(|history| {
-                history.term() == status.term && history.newest() <= status.position
-            });
-            if !is_same_term {
-                state.history = Some(CommitHistory::new(status.term, status.position));
-            }
+            let former = state.history.take();
+            let adopted = CommitHistory::adopt(former, status.term, status.position, is_current);
+            state.history = Some(adopted);
         }
         lock(&self.succession).set_served_term(status.term);
         self.settle_commit_loss(leader);
@@ -81,6 +84,31 @@
         true
     }
 
+    /// Returns the status to adopt a primary by, and whether it is known to be later than every
+    /// acknowledged commit. If the last one lacks some, the member is asked again. Returns `None` if
+    /// it then fails or no longer leads that term.
+    async fn status_for_adoption(
+        &self,
+        leader: &MemberKey,
+        last: MemberStatus,
+    ) -> Option<(MemberStatus, bool)> {
+        let lacks_commits = lock(&self.state)
+            .history
+            .as_ref()
+            .is_some_and(|history| history.exceeds(last.term, last.position));
+        if !lacks_commits {
+            return Some((last, false));
+        }
+        match self.probe_anew(self.entry_of(leader)?).await {
+            ProbeResult::Reported(status) => {
+                let leads = status.is_primary && status.term == last.term;
+                leads.then_some((status, true))
+            }
+            ProbeResult::Busy => Some((last, false)),
+            ProbeResult::Replaced | ProbeResult::Failed(_) => None,
+        }
+    }
+
     /// Ends the wait for acknowledged commits. Reports those that are lost, if the member that serves
     /// now was promoted without them.
     fn settle_commit_loss(&self, leader: &MemberKey) {
--- a/core/tests/core/primaries.rs
+++ b/core/tests/core/primaries.rs
@@ -292,3 +292,52 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert_eq!(cluster.group.promotions(), []);
 }
+
+/// A primary adopted again by a status from before 20 acknowledged writes: replicas without them ran reads.
+#[rstest]
+#[case::kept_primary(false)]
+#[case::refused_move(true)]
+#[tokio::test]
+async fn reads_include_acknowledged_writes_after_the_primary_is_adopted_again(
+    #[case] is_moved: bool,
+) {
+    let cluster = TestCluster::start(1).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.group.stall_replication("m3");
+    let mut session = cluster.open(0, "bookings");
+    for number in 0..20 {
+        run(&mut session, &format!("w{number}"), "STORE a 1").await.expect("written");
+    }
+    // Longer than the staleness bound of the lookups.
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    cluster.group.are_orders_refused.store(true, Ordering::Release);
+    if is_moved {
+        let mut entries = cluster.group.entries();
+        entries[0].is_draining = true;
+        cluster.store.set_members(entries);
+    }
+    cluster.group.set_latency("m2", 20);
+    cluster.group.set_latency("m3", 20);
+    let readers = (0..4).map(|reader| {
+        let mut session = cluster.open(0, "lookups");
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let mut served = 0;
+            for number in 0..80 {
+                let ended = run(&mut session, &format!("r{reader}-{number}"), "FETCH a").await;
+                served += usize::from(ended.is_ok());
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            served
+        })
+    });
+    let mut served = 0;
+    for reader in readers.collect::<Vec<_>>() {
+        served += reader.await.expect("the reader ends");
+    }
+    assert!(served > 0, "no read was served");
+    assert_eq!(is_moved, !cluster.group.promotions().is_empty(), "whether a move was ordered");
+    let executed = cluster.group.executed("m3");
+    let stale: Vec<&String> = executed.iter().filter(|ran| ran.starts_with('r')).collect();
+    assert!(stale.is_empty(), "{} reads lacked writes, first {:?}", stale.len(), stale.first());
+}
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -70,6 +70,8 @@
     pub promotion_ms: AtomicU64,
     /// Whether orders to promote a member get no answer.
     pub are_orders_unanswered: AtomicBool,
+    /// Whether orders to promote a member are refused.
+    pub are_orders_refused: AtomicBool,
     /// Time that a new connection takes, in milliseconds.
     pub connect_ms: AtomicU64,
 }
@@ -112,6 +114,7 @@
             signatures: AtomicU64::new(0),
             promotion_ms: AtomicU64::new(0),
             are_orders_unanswered: AtomicBool::new(false),
+            are_orders_refused: AtomicBool::new(false),
             connect_ms: AtomicU64::new(0),
         })
     }
@@ -478,6 +481,9 @@
             .lock()
             .expect("the mutex is not poisoned")
             .push((member.to_owned(), fencing_token));
+        if self.0.are_orders_refused.load(Ordering::Acquire) {
+            return Err(PromotionError::NotDone("refused".to_owned()));
+        }
         let delay = Duration::from_millis(self.0.promotion_ms.load(Ordering::Acquire));
         let (group, member) = (self.0.clone(), member.to_owned());
         tokio::spawn(async move {
