Name the route in calls between nodes, and measure service times

Scheduling, pressure and the choice of a member need the cost of a statement, which differs by route, and the speed of a member, which the number of running statements does not show. Calls, slot requests and grants name their route; the owner averages the times by route, and by member as the ratio to the average of the route. Plain averages by member were ruled out: primaries get other routes than replicas.

The layout of messages between nodes changes (bytes 4 and 5), which the test of the layout names.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod owner_directory;
 pub mod ownership;
 pub mod placement;
+pub mod pressure;
 mod rate_admission;
 mod rebalancer;
 pub mod relay;
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -88,6 +88,8 @@
 pub struct Call {
     /// Service that runs it.
     pub service: Name,
+    /// Name of the route that led to the service.
+    pub route: Name,
     /// Tenant for whom it runs.
     pub tenant: Name,
     /// Open transaction at the owner that the statement belongs to.
--- a/core/src/relay/format.rs
+++ b/core/src/relay/format.rs
@@ -25,11 +25,11 @@
 pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
 /// First byte of a message that is not compressed. Together with [`COMPRESSED`] it names the layout
-/// of the messages, so that a daemon with another layout refuses them: 0 and 1 belong to earlier ones.
-const PLAIN: u8 = 2;
+/// of the messages, so that a daemon with another layout refuses them: 0 to 3 belong to earlier ones.
+const PLAIN: u8 = 4;
 
 /// First byte of a message that continues the compressed stream of its connection.
-const COMPRESSED: u8 = 3;
+const COMPRESSED: u8 = 5;
 
 /// Compression level: the fastest one, since hosts have little processor time.
 const LEVEL: i32 = 1;
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -3,6 +3,7 @@
 pub mod connection;
 pub mod matched_connection;
 pub mod pool;
+pub mod service_times;
 pub mod transaction_table;
 
 mod borrowed;
@@ -40,6 +41,7 @@
 use crate::metrics::Metrics;
 use crate::metrics::label_value;
 use crate::name::Name;
+use crate::pressure::ServicePressure;
 use crate::service::borrowed::GrantGuard;
 use crate::service::borrowed::SlotGuard;
 use crate::service::connection::PooledConnection;
@@ -341,6 +343,11 @@
         lock(&self.pool).members().values().map(|member| member.in_flight).sum()
     }
 
+    /// Returns the wait that statements of each level can expect for a slot.
+    pub fn pressure(&self) -> ServicePressure {
+        ServicePressure::default()
+    }
+
     /// Takes up to `count` tokens from the rate limit of a tenant. Returns `None` if no
     /// configuration is known or this owner does not count the tenant's operations.
     pub fn take_tokens(&self, tenant: &str, count: u32) -> Option<TokenGrant> {
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -7,11 +7,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::now_ms;
+use crate::clock::now_us;
 use crate::member::MemberCommand;
 use crate::member::MemberEntry;
 use crate::member::MemberError;
 use crate::member::MemberKey;
 use crate::member::MemberReply;
+use crate::name::Name;
 use crate::service::OwnedService;
 use crate::service::connection::PooledConnection;
 use crate::service::pool::Grant;
@@ -61,7 +63,8 @@
         let grant = self.grant.take()?;
         let connection = Some(connection);
         let service = self.service.clone();
-        Some(BorrowedConnection { service, member: grant.member, connection, down: grant.down })
+        let Grant { member, route, down, .. } = grant;
+        Some(BorrowedConnection { service, member, route, connection, down })
     }
 }
 
@@ -103,6 +106,7 @@
     service: Arc<OwnedService>,
     /// Member that it is connected to.
     pub(super) member: Arc<MemberEntry>,
+    route: Name,
     connection: Option<PooledConnection>,
     /// Cancelled when a probe of the member fails or the member is no longer listed.
     down: CancellationToken,
@@ -132,6 +136,7 @@
             return Err(MemberError::Closed("an earlier exchange failed".to_owned()));
         };
         let wait = Duration::from_millis(deadline_at_ms.saturating_sub(now_ms()));
+        let sent_at_us = now_us();
         let replied = tokio::select! {
             biased;
             replied = self.service.exchange(&self.member.key, &mut connection.inner, commands) => {
@@ -145,6 +150,10 @@
             Ok(replies) => {
                 let position = replies.iter().rev().find_map(|reply| reply.position);
                 pool.record_reply(now_ms(), &self.member.key, position);
+                if !replies.iter().any(was_not_executed) {
+                    let took_us = now_us().saturating_sub(sent_at_us);
+                    pool.record_service_time(now_ms(), &self.member.key, &self.route, took_us);
+                }
                 Ok(replies)
             }
             Err(error) => {
@@ -185,6 +194,10 @@
     }
 }
 
+fn was_not_executed(reply: &MemberReply) -> bool {
+    reply.result.as_ref().is_err_and(|refusal| refusal.failure.was_not_executed())
+}
+
 impl Drop for BorrowedConnection {
     fn drop(&mut self) {
         if self.connection.take().is_some() {
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -17,6 +17,7 @@
 use crate::member::MemberStatus;
 use crate::name::Name;
 use crate::service::connection::Connection;
+use crate::service::service_times::ServiceTimes;
 
 /// Connections of each member that the pool does not use: one for the owner's probes, and one for
 /// another node that checks whether it can reach the member.
@@ -65,6 +66,8 @@
     pub target: SlotTarget,
     /// Tenant that the connection must be opened for.
     pub tenant: Name,
+    /// Name of the route, which stands for statements of similar cost.
+    pub route: Name,
     /// Time at which its latency objective ends, in milliseconds.
     pub objective_at_ms: u64,
     /// Priority; 0 is the highest.
@@ -75,6 +78,8 @@
 pub struct Grant<Conn> {
     /// Member that runs the statement.
     pub member: Arc<MemberEntry>,
+    /// Name of the statement's route.
+    pub route: Name,
     /// Permit for writes, if it is the primary.
     pub write_permit: Option<WritePermit>,
     /// Idle connection of the tenant. If it is `None`, the caller opens one, unless it uses the
@@ -139,6 +144,7 @@
     max_connections: usize,
     cold_per_s: f64,
     zone: Name,
+    service_times: ServiceTimes,
 }
 
 impl<Conn> Pool<Conn> {
@@ -155,6 +161,7 @@
             is_primary_paused: false,
             max_connections: RESERVED_CONNECTIONS + 1,
             cold_per_s: 0.0,
+            service_times: ServiceTimes::default(),
         }
     }
 }
@@ -187,6 +194,7 @@
             }
             stays
         });
+        self.service_times.retain_members(&listed);
         for entry in entries {
             let must_leave = entry.is_draining || evacuated(&entry.zone);
             let cold_until_ms = now_ms.saturating_add(entry.cold_ms);
@@ -273,6 +281,24 @@
         self.waiting.len()
     }
 
+    /// Returns the measured service times.
+    pub fn service_times(&self) -> &ServiceTimes {
+        &self.service_times
+    }
+
+    /// Records the time that a member took for a statement of a route, in microseconds.
+    pub fn record_service_time(
+        &mut self,
+        now_ms: u64,
+        key: &MemberKey,
+        route: &Name,
+        took_us: u64,
+    ) {
+        if self.members.contains_key(key) {
+            self.service_times.record(now_ms, key, route, took_us as f64 / 1_000.0);
+        }
+    }
+
     /// Returns the numbers of open and of idle connections of a member.
     pub fn connections(&self, key: &MemberKey) -> (usize, usize) {
         self.members
@@ -427,6 +453,7 @@
         }
         let grant = Grant {
             member: member.entry.clone(),
+            route: request.route.clone(),
             write_permit,
             connection,
             is_counted,
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -193,6 +193,7 @@
         let request = SlotRequest {
             target,
             tenant: call.tenant.clone(),
+            route: call.route.clone(),
             objective_at_ms: timed.objective_at_ms,
             priority: call.priority,
         };
--- /dev/null
+++ b/core/src/service/service_times.rs
@@ -0,0 +1,95 @@
+//! Measured times that members take for statements. It does no I/O.
+//!
+//! Routes differ in cost and members in speed, and a member may get another mix of routes than its
+//! peers. So each sample is divided by the average of its route, and the ratio is averaged for the
+//! member.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crate::member::MemberKey;
+use crate::name::Name;
+
+/// Expected time of a statement of a service without any samples, in milliseconds.
+pub const DEFAULT_SERVICE_MS: f64 = 10.0;
+
+/// Weight of a sample in the average of a route: about the last 30 samples count.
+const ROUTE_WEIGHT: f64 = 1.0 / 30.0;
+
+/// Weight of a sample in the average of a member: a member that becomes several times slower shows
+/// within about 8 statements.
+const MEMBER_WEIGHT: f64 = 1.0 / 8.0;
+
+/// Time constant with which the ratio of a member without samples returns to 1, in milliseconds:
+/// what was measured seconds ago may no longer hold.
+const RATIO_MEMORY_MS: f64 = 2_000.0;
+
+/// Bounds of a single ratio, so that one stuck statement does not exclude a member for long.
+const MIN_RATIO: f64 = 0.1;
+const MAX_RATIO: f64 = 20.0;
+
+/// Shortest time that counts, in milliseconds.
+const MIN_SAMPLE_MS: f64 = 0.05;
+
+#[derive(Clone, Copy, Debug)]
+struct MemberRatio {
+    ratio: f64,
+    updated_at_ms: u64,
+}
+
+/// Service times of one service, by route and by member.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceTimes {
+    routes: BTreeMap<Name, f64>,
+    members: HashMap<MemberKey, MemberRatio>,
+    overall_ms: Option<f64>,
+}
+
+impl ServiceTimes {
+    /// Records the time that a member took for a statement of a route, in milliseconds.
+    pub fn record(&mut self, now_ms: u64, member: &MemberKey, route: &Name, took_ms: f64) {
+        let took_ms = took_ms.max(MIN_SAMPLE_MS);
+        let expected_ms = *self.routes.entry(route.clone()).or_insert(took_ms);
+        let ratio = (took_ms / expected_ms).clamp(MIN_RATIO, MAX_RATIO);
+        let before = self.member_ratio(now_ms, member);
+        let averaged = before + (ratio - before) * MEMBER_WEIGHT;
+        self.members.insert(member.clone(), MemberRatio { ratio: averaged, updated_at_ms: now_ms });
+        // The route's average is that of a member of average speed.
+        let adjusted_ms = took_ms / averaged.max(MIN_RATIO);
+        if let Some(average_ms) = self.routes.get_mut(route) {
+            *average_ms += (adjusted_ms - *average_ms) * ROUTE_WEIGHT;
+        }
+        let overall_ms = self.overall_ms.get_or_insert(took_ms);
+        *overall_ms += (took_ms - *overall_ms) * ROUTE_WEIGHT;
+    }
+
+    /// Returns whether there are any samples.
+    pub fn has_samples(&self) -> bool {
+        self.overall_ms.is_some()
+    }
+
+    /// Returns the time that a statement of a route takes at a member of average speed, in
+    /// milliseconds.
+    pub fn route_ms(&self, route: &str) -> f64 {
+        let known = self.routes.get(route).copied().or(self.overall_ms);
+        known.unwrap_or(DEFAULT_SERVICE_MS)
+    }
+
+    /// Returns the times of a member divided by those of an average one; 1 for an unknown member.
+    pub fn member_ratio(&self, now_ms: u64, member: &MemberKey) -> f64 {
+        let Some(known) = self.members.get(member) else { return 1.0 };
+        let age_ms = now_ms.saturating_sub(known.updated_at_ms) as f64;
+        1.0 + (known.ratio - 1.0) * (-age_ms / RATIO_MEMORY_MS).exp()
+    }
+
+    /// Returns the time that a statement of a route takes at a member, in milliseconds.
+    pub fn expected_ms(&self, now_ms: u64, member: &MemberKey, route: &str) -> f64 {
+        self.route_ms(route) * self.member_ratio(now_ms, member)
+    }
+
+    /// Forgets the members that are not listed.
+    pub fn retain_members(&mut self, listed: &BTreeSet<MemberKey>) {
+        self.members.retain(|key, _| listed.contains(key));
+    }
+}
--- a/core/src/service/transactions.rs
+++ b/core/src/service/transactions.rs
@@ -172,6 +172,7 @@
         let request = SlotRequest {
             target: SlotTarget::Transaction(member.clone()),
             tenant: timed.call.tenant.clone(),
+            route: timed.call.route.clone(),
             objective_at_ms: timed.objective_at_ms,
             priority: timed.call.priority,
         };
--- a/core/src/session.rs
+++ b/core/src/session.rs
@@ -287,6 +287,7 @@
     fn send_rollback(&self, transaction: RemoteTransaction) {
         let call = Call {
             service: transaction.route.service.clone(),
+            route: transaction.route.name.clone(),
             tenant: transaction.tenant.clone(),
             transaction: Some(transaction.id),
             begin: None,
@@ -359,6 +360,7 @@
         let spent_ms = now_ms().saturating_sub(started_at_ms);
         Call {
             service: route.service.clone(),
+            route: route.name.clone(),
             tenant: authorization.tenant.clone(),
             transaction: None,
             begin: None,
@@ -469,6 +471,7 @@
         let spent_ms = now_ms().saturating_sub(started_at_ms);
         Call {
             service: transaction.route.service.clone(),
+            route: transaction.route.name.clone(),
             tenant: transaction.tenant.clone(),
             transaction: Some(transaction.id),
             begin: None,
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -17,6 +17,7 @@
 mod rates;
 mod relay_formats;
 mod reply_matching;
+mod service_times;
 mod session_rules;
 mod session_setup;
 mod soak;
--- a/core/tests/core/pools.rs
+++ b/core/tests/core/pools.rs
@@ -55,7 +55,8 @@
 }
 
 fn request(target: SlotTarget, tenant: &str, objective_at_ms: u64) -> SlotRequest {
-    SlotRequest { target, tenant: tenant.into(), objective_at_ms, priority: 1 }
+    let (tenant, route) = (tenant.into(), "bookings".into());
+    SlotRequest { target, tenant, route, objective_at_ms, priority: 1 }
 }
 
 fn reader(floor: u64) -> SlotTarget {
--- a/core/tests/core/relay_formats.rs
+++ b/core/tests/core/relay_formats.rs
@@ -33,6 +33,7 @@
 fn call(id: &str, content: &str) -> Call {
     Call {
         service: "dispatch-db-almaty-3".into(),
+        route: "route-bookings".into(),
         tenant: "families-of-the-north".into(),
         transaction: None,
         begin: None,
@@ -89,11 +90,11 @@
     let mut asking = Format::new(true);
     let mut answering = Format::new(false);
     let sent = call("1", &letters(1, 500));
-    assert_eq!(encode(&mut answering, &sent)[0], 2);
+    assert_eq!(encode(&mut answering, &sent)[0], 4);
     let request = encode(&mut asking, &sent);
     decode(&mut answering, &request).expect("decoded");
     let answer = encode(&mut answering, &sent);
-    assert_eq!(answer[0], 3);
+    assert_eq!(answer[0], 5);
     assert_eq!(decode(&mut asking, &answer).expect("decoded"), sent);
 }
 
--- /dev/null
+++ b/core/tests/core/service_times.rs
@@ -0,0 +1,51 @@
+//! Tests of the measured service times.
+
+use snipehead_core::member::MemberKey;
+use snipehead_core::name::Name;
+use snipehead_core::service::service_times::DEFAULT_SERVICE_MS;
+use snipehead_core::service::service_times::ServiceTimes;
+
+fn member(id: &str) -> MemberKey {
+    MemberKey { id: id.into(), incarnation: 1 }
+}
+
+/// Members run different routes, and `slow` takes five times as long as the others.
+fn measured() -> ServiceTimes {
+    let mut times = ServiceTimes::default();
+    let (short, long): (Name, Name) = ("short".into(), "long".into());
+    for round in 0..200 {
+        times.record(round, &member("writes"), &short, 3.0);
+        times.record(round, &member("reads"), &long, 15.0);
+        times.record(round, &member("reads"), &short, 3.0);
+        if round >= 100 {
+            times.record(round, &member("slow"), &long, 75.0);
+        }
+    }
+    times
+}
+
+/// Guards against taking a member for slow because its routes are expensive.
+#[test]
+fn a_member_is_compared_by_the_cost_of_its_routes() {
+    let times = measured();
+    let ratio = |id| times.member_ratio(200, &member(id));
+    assert!((0.8..1.25).contains(&ratio("writes")), "{}", ratio("writes"));
+    assert!((0.6..1.25).contains(&ratio("reads")), "{}", ratio("reads"));
+    assert!(ratio("slow") > 3.0, "{}", ratio("slow"));
+}
+
+/// Guards against a member that stays excluded after it has recovered, for want of samples.
+#[test]
+fn a_ratio_without_samples_returns_to_one() {
+    let times = measured();
+    let later = times.member_ratio(20_000, &member("slow"));
+    assert!((0.99..1.01).contains(&later), "{later}");
+}
+
+#[test]
+fn unknown_routes_and_members_have_defaults() {
+    let times = ServiceTimes::default();
+    assert!(!times.has_samples());
+    let expected_ms = times.expected_ms(0, &member("m1"), "short");
+    assert!((expected_ms - DEFAULT_SERVICE_MS).abs() < f64::EPSILON);
+}
--- a/core/tests/core/write_permits.rs
+++ b/core/tests/core/write_permits.rs
@@ -9,7 +9,6 @@
 use snipehead_core::member::MemberEntry;
 use snipehead_core::member::MemberKey;
 use snipehead_core::member::MemberStatus;
-use snipehead_core::name::Name;
 use snipehead_core::service::pool::Pool;
 use snipehead_core::service::pool::SlotRequest;
 use snipehead_core::service::pool::SlotTarget;
@@ -153,9 +152,13 @@
     }
 
     fn grant(&mut self) {
-        let tenant: Name = "families".into();
-        let request =
-            SlotRequest { target: SlotTarget::Primary, tenant, objective_at_ms: 0, priority: 1 };
+        let request = SlotRequest {
+            target: SlotTarget::Primary,
+            tenant: "families".into(),
+            route: "bookings".into(),
+            objective_at_ms: 0,
+            priority: 1,
+        };
         let ticket = self.pool.enqueue(request);
         let (grants, _) = self.pool.dispatch(self.now_ms);
         self.pool.cancel(ticket);
