--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -76,6 +76,10 @@
 /// the lease is about to expire, in milliseconds.
 const OFFER_INTERVAL_MS: u64 = 500;
 
+/// Time for which a computed pressure is used, in milliseconds: each reply to another node carries
+/// it, and it takes a look at all waiting statements.
+const PRESSURE_INTERVAL_MS: u64 = 5;
+
 /// Dependencies that a node passes to a service that it owns.
 pub struct ServiceContext {
     /// Data centre of the node.
@@ -157,6 +161,8 @@
     pool: Mutex<Pool<PooledConnection>>,
     grant_senders: Mutex<HashMap<u64, oneshot::Sender<Result<AcquiredSlot, AcquireError>>>>,
     refusal_log: Mutex<RefusalLog>,
+    /// Last computed pressure, and the time at which it is computed again.
+    pressure: Mutex<(u64, ServicePressure)>,
     state: Mutex<ServiceState>,
     succession: Mutex<Succession>,
     idle_transactions: Mutex<TransactionTable<MemberTransaction>>,
@@ -197,6 +203,7 @@
             context,
             grant_senders: Mutex::default(),
             refusal_log: Mutex::new(RefusalLog::new(now_ms())),
+            pressure: Mutex::default(),
             state: Mutex::default(),
             succession: Mutex::new(Succession::new(leadership)),
             idle_transactions: Mutex::new(TransactionTable::new(fencing_token)),
@@ -357,7 +364,12 @@
 
     /// Returns the wait that statements of each level can expect for a slot.
     pub fn pressure(&self) -> ServicePressure {
-        lock(&self.pool).pressure(now_ms())
+        let now_ms = now_ms();
+        let mut known = lock(&self.pressure);
+        if now_ms >= known.0 {
+            *known = (now_ms + PRESSURE_INTERVAL_MS, lock(&self.pool).pressure(now_ms));
+        }
+        known.1.clone()
     }
 
     /// Takes up to `count` tokens from the rate limit of a tenant. Returns `None` if no
--- a/core/src/service/pool/admission.rs
+++ b/core/src/service/pool/admission.rs
@@ -183,6 +183,9 @@
 
     /// Returns the wait that statements of each level can expect.
     pub fn pressure(&self, now_ms: u64) -> ServicePressure {
+        if self.queue.is_empty() {
+            return ServicePressure::default();
+        }
         self.queue.pressure(now_ms, self.capacity(now_ms).as_ref())
     }
 
--- a/core/tests/core/admission_model.rs
+++ b/core/tests/core/admission_model.rs
@@ -6,12 +6,14 @@
 use rand::rngs::SmallRng;
 
 use crate::pools::FakeConnection;
+use crate::pools::entry;
+use crate::pools::key;
+use crate::pools::pool;
 use snipehead_core::admission::admission_rules::AdmissionRules;
 use snipehead_core::admission::refusal::AdmissionRefusal;
 use snipehead_core::log_position::LogPosition;
 use snipehead_core::member::MemberEntry;
 use snipehead_core::member::MemberKey;
-use snipehead_core::member::MemberStatus;
 use snipehead_core::name::Name;
 use snipehead_core::service::pool::Pool;
 use snipehead_core::service::pool::SlotRequest;
@@ -89,12 +91,6 @@
     pub fn in_objective_share(self) -> f64 {
         self.in_objective as f64 / self.started.max(1) as f64
     }
-
-    fn add(&mut self, other: Self) {
-        self.started += other.started;
-        self.served += other.served;
-        self.in_objective += other.in_objective;
-    }
 }
 
 #[derive(Debug, Default)]
@@ -109,18 +105,6 @@
     pub refusals: u64,
 }
 
-impl Outcome {
-    /// Adds what another run gave.
-    pub fn add(&mut self, other: &Self) {
-        self.levels.iter_mut().zip(other.levels).for_each(|(sum, counts)| sum.add(counts));
-        self.tenants.iter_mut().zip(other.tenants).for_each(|(sum, counts)| sum.add(counts));
-        let times = other.slot_ms_while_last_waits;
-        self.slot_ms_while_last_waits.iter_mut().zip(times).for_each(|(sum, ms)| *sum += ms);
-        self.late_refusals += other.late_refusals;
-        self.refusals += other.refusals;
-    }
-}
-
 pub struct Model {
     pool: Pool<FakeConnection>,
     random: SmallRng,
@@ -132,45 +116,19 @@
     has_levels: bool,
 }
 
-fn key(number: usize) -> MemberKey {
-    MemberKey { id: format!("m{number}").into(), incarnation: 1 }
-}
-
 impl Model {
-    /// Creates a service whose order is that of the levels, or the present one.
-    pub fn new(seed: u64, has_levels: bool) -> Self {
-        let mut pool = Pool::new("almaty-a".into());
+    /// Creates a service whose order is that of the levels, or the present one. What callers get is
+    /// added to `outcome`.
+    pub fn new(seed: u64, has_levels: bool, outcome: Outcome) -> Self {
+        let members = ["m1", "m2", "m3"].map(|id| MemberEntry { slots: SLOTS, ..entry(id) });
+        let mut pool = pool(members.into());
         pool.set_limits(56, 0.0);
-        let entries = (1..=3).map(|number| MemberEntry {
-            key: key(number),
-            service: "dispatch".into(),
-            address: "127.0.0.1:1".parse().expect("an address"),
-            zone: "almaty-a".into(),
-            slots: SLOTS,
-            is_draining: false,
-            cold_ms: 0,
-            claims_primary: number == 1,
-        });
-        drop(pool.set_members(0, entries.collect(), &|_| false));
-        for number in 1..=3 {
-            let position = LogPosition::new(1, 10);
-            let status = MemberStatus { is_primary: number == 1, term: 1, position };
-            pool.record_status(0, &key(number), Some(status));
-        }
-        pool.set_primary(0, Some(key(1)));
         let levels = if has_levels { (0..3).collect() } else { [0].into() };
         let rates = (0..8).map(|tenant| (format!("t{tenant}").into(), 50.0));
         pool.set_admission_rules(AdmissionRules::new(levels, rates));
-        Self {
-            pool,
-            random: SmallRng::seed_from_u64(seed),
-            now_ms: 0,
-            waiting: Vec::new(),
-            running: Vec::new(),
-            returning: Vec::new(),
-            outcome: Outcome::default(),
-            has_levels,
-        }
+        let random = SmallRng::seed_from_u64(seed);
+        let (waiting, running, returning) = (Vec::new(), Vec::new(), Vec::new());
+        Self { pool, random, now_ms: 0, waiting, running, returning, outcome, has_levels }
     }
 
     /// Plays a load for `length_ms`, and then until no caller is left.
@@ -181,10 +139,10 @@
             self.now_ms += 1;
             let is_burst = load.burst_ms.contains(&self.now_ms);
             if load.is_member_gone && self.now_ms == load.burst_ms.start {
-                self.pool.suspect(self.now_ms, &key(3));
+                self.pool.suspect(self.now_ms, &key("m3"));
             }
             if load.is_member_gone && self.now_ms == load.burst_ms.end {
-                self.pool.record_status(self.now_ms, &key(3), None);
+                self.pool.record_status(self.now_ms, &key("m3"), None);
             }
             self.end_statements(load, is_burst);
             // Neither new callers nor those that come back are always first.
@@ -297,7 +255,7 @@
         for (ticket, grant) in self.pool.dispatch(self.now_ms).0 {
             let Some((caller, request, _)) = self.take(ticket) else { continue };
             let member = grant.member.key.clone();
-            let is_slow = is_burst && member == key(1);
+            let is_slow = is_burst && member == key("m1");
             let took_ms = LEVELS[caller.level].0 * if is_slow { load.slow_factor } else { 1 };
             if does_last_wait {
                 self.outcome.slot_ms_while_last_waits[caller.level] += took_ms;
--- a/core/tests/core/admissions.rs
+++ b/core/tests/core/admissions.rs
@@ -22,13 +22,13 @@
 use snipehead_core::admission::waiting_statement::WaitingStatement;
 use snipehead_core::configuration::Consistency;
 use snipehead_core::configuration::Route;
+use snipehead_core::name::Name;
 
 const CAPACITY: Capacity = Capacity { primary: 4.0, others: 8.0 };
 
 fn play(load: &Load, has_levels: bool) -> Outcome {
-    let mut sum = Outcome::default();
-    (1..=3).for_each(|seed| sum.add(&Model::new(seed, has_levels).play(load, 4_000)));
-    sum
+    let play_seed = |sum, seed| Model::new(seed, has_levels, sum).play(load, 4_000);
+    (1..=3).fold(Outcome::default(), play_seed)
 }
 
 fn burst(burst_slots: [f64; 3]) -> Load {
@@ -113,19 +113,28 @@
         assert!(started.elapsed() < WAIT_LIMIT, "the route is not known");
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
+    // A new owner grants few tokens at first.
+    tokio::time::sleep(Duration::from_millis(300)).await;
     cluster.group.set_latency("m1", 60);
-    let writers = (0..60).map(|number| {
-        let mut session = cluster.open(0, "bookings");
-        tokio::spawn(async move { run(&mut session, &format!("w{number}"), "STORE a 1").await })
-    });
     let mut details = Vec::new();
-    for writer in writers.collect::<Vec<_>>() {
-        details.extend(writer.await.expect("the writer ends").err().map(|it| it.detail));
+    // The first statements show how slow the member is.
+    for count in [30, 60] {
+        let writers = (0..count).map(|number| {
+            let mut session = cluster.open(0, "bookings");
+            let id = format!("w{count}-{number}");
+            tokio::spawn(async move { run(&mut session, &id, "STORE a 1").await })
+        });
+        for writer in writers.collect::<Vec<_>>() {
+            details.extend(writer.await.expect("the writer ends").err().map(|it| it.detail));
+        }
     }
-    assert!(!details.is_empty());
-    assert!(details.iter().all(|detail| detail.contains("retry after ")), "{details:?}");
+    let is_overloaded = |detail: &Name| detail.starts_with("the service is overloaded");
+    assert!(details.iter().any(is_overloaded), "{details:?}");
+    assert!(details.iter().all(|detail| detail.contains("; retry after ")), "{details:?}");
     let metrics = cluster.hosts[0].node.render_metrics();
-    assert!(metrics.contains("admission_refused{service=\"dispatch\",level=\"1\""), "{metrics}");
+    let labels = "service=\"dispatch\",level=\"1\",reason=\"objective\"";
+    assert!(metrics.contains(&format!("admission_refused{{{labels}}}")), "{metrics}");
+    assert!(!metrics.contains("reason=\"rate\""), "{metrics}");
 }
 
 fn rules(levels: &[u32]) -> AdmissionRules {
--- a/core/tests/core/pools.rs
+++ b/core/tests/core/pools.rs
@@ -29,11 +29,11 @@
     }
 }
 
-fn key(id: &str) -> MemberKey {
+pub fn key(id: &str) -> MemberKey {
     MemberKey { id: id.into(), incarnation: 1 }
 }
 
-fn entry(id: &str) -> MemberEntry {
+pub fn entry(id: &str) -> MemberEntry {
     MemberEntry {
         key: key(id),
         service: "dispatch".into(),
@@ -46,7 +46,7 @@
     }
 }
 
-fn pool(entries: Vec<MemberEntry>) -> Pool<FakeConnection> {
+pub fn pool(entries: Vec<MemberEntry>) -> Pool<FakeConnection> {
     let mut pool = Pool::new("almaty-a".into());
     pool.set_limits(8, 2.0);
     let keys: Vec<MemberKey> = entries.iter().map(|entry| entry.key.clone()).collect();
