Refuse at the entry node what an owner under pressure would refuse

Cause: under overload an owner refuses statements at once, but each refusal still takes two messages, and refused callers come back. Entry nodes knew nothing of the load of owners.

Change: replies between nodes (`RelayedReply`) carry the expected wait of each level with the fencing token of the ownership, while there is any. Entry nodes refuse by it before the hop, probe, resume step by step and limit retries (`pressure_table.rs`, `retry_budget.rs`, `refusal_history.rs`, `node/back_pressure.rs`). Until `OwnedService::pressure()` returns levels, nothing is refused. Metrics, a log line a second and level, lines in `--ask`.

Ruled out: delayed replies (one link carries all levels), shares for each node, throttling by a node's own refusals (docs/design/0011-back-pressure.md). A statement counts as a retry for one earlier refusal, not for all within 1.5 s: one refusal would hold up all callers of the tenant.

With a mechanism taken out these fail: no step by step resuming (3 tests), no check of the owner (4), no age (4), no token (1), no retry budget (6), probes each 100 ms (3), no spread of retries (1), transactions refused (1), end of the pressure not told (1).

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -1,6 +1,8 @@
 //! A node, the process on an entry host: its state, and how it routes statements to the owners of
 //! services.
 
+mod back_pressure;
+
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -27,6 +29,7 @@
 use crate::metadata_source::SyncStep;
 use crate::metrics::Metrics;
 use crate::name::Name;
+use crate::node::back_pressure::BackPressure;
 use crate::node_directory::NodeDirectory;
 use crate::node_record::NodeRecord;
 use crate::outcome::Failure;
@@ -107,6 +110,7 @@
     pub(crate) services: Mutex<HashMap<Name, Arc<OwnedService>>>,
     pub(crate) members: Arc<MemberDirectory>,
     pub(crate) token_cache: Mutex<TokenCache>,
+    pub(crate) back_pressure: BackPressure,
     pub(crate) nodes: Arc<Mutex<NodeDirectory>>,
     pub(crate) records_version: Mutex<Option<(u64, u64)>>,
     pub(crate) synced: watch::Sender<u64>,
@@ -142,6 +146,7 @@
             services: Mutex::default(),
             members: Arc::default(),
             token_cache: Mutex::default(),
+            back_pressure: BackPressure::default(),
             nodes,
             records_version: Mutex::default(),
             synced: watch::Sender::new(0),
@@ -185,6 +190,7 @@
         for service in services {
             service.summary().render_metrics(&mut text);
         }
+        self.render_pressure_metrics(&mut text);
         text
     }
 
@@ -225,7 +231,8 @@
             problems.extend(summary.problems());
             losses.extend(summary.loss_report());
         }
-        let mut role = self.role_report();
+        let mut role = self.pressure_report();
+        role.push_str(&self.role_report());
         for loss in losses {
             let _ = writeln!(role, "{loss}");
         }
@@ -404,6 +411,8 @@
         let deadline_at_ms = started_at_ms.saturating_add(call.deadline_ms);
         let objective_at_ms = started_at_ms + call.objective_ms;
         let mut changes = self.owner_directory.changes();
+        let is_retry = self.is_retry(&call);
+        let mut may_have_run = false;
         loop {
             let now_ms = now_ms();
             call.max_queue_ms = queue_until_ms.saturating_sub(now_ms);
@@ -411,11 +420,20 @@
             call.objective_ms = objective_at_ms.saturating_sub(now_ms);
             changes.mark_unchanged();
             if let Some(owner) = self.owner_directory.owner(&call.service) {
+                // A refusal that says that the statement was not run must be true.
+                if !may_have_run && let Some(refusal) = self.refuse_locally(&call, &owner, is_retry)
+                {
+                    return (CallReply::Refused(refusal), None);
+                }
                 let reply = self.call_at(owner.address, call.clone()).await;
                 match reply {
                     Ok(CallReply::NotOwner { .. }) | Err(RelayError::NotSent(_)) => {}
-                    Ok(reply) => return (reply, Some(owner.address)),
+                    Ok(reply) => {
+                        self.record_owner_refusal(&call, owner.address, &reply);
+                        return (reply, Some(owner.address));
+                    }
                     Err(RelayError::NoAnswer(reason)) => {
+                        may_have_run = true;
                         if let Some(refusal) = refusal_for_unanswered(&call, &reason) {
                             return (CallReply::Refused(refusal), None);
                         }
@@ -461,11 +479,18 @@
     /// Returns an error that tells whether the statement may have run.
     pub async fn call_at(&self, address: SocketAddr, call: Call) -> Result<CallReply, RelayError> {
         if address == self.settings.identity.address {
-            return Ok(self.run_owned(call).await);
+            let service = call.service.clone();
+            let reply = self.run_owned(call).await;
+            self.record_own_pressure(&service);
+            return Ok(reply);
         }
         let service = call.service.clone();
         let may_abandon = !call.may_take_effect();
-        let reply = self.peers.run(address, call, may_abandon).await;
+        let relayed = self.peers.run(address, call, may_abandon).await;
+        let reply = relayed.map(|relayed| {
+            self.record_pressure(&service, address, relayed.pressure);
+            relayed.reply
+        });
         match &reply {
             Ok(CallReply::NotOwner { owner: Some(owner) }) => {
                 self.owner_directory.update(&service, owner.clone());
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::outcome::Answer;
 use crate::outcome::Refusal;
 use crate::owner_directory::Owner;
+use crate::owner_pressure::OwnerPressure;
 pub use crate::relay::client::PeerPool;
 pub use crate::relay::client::RelayError;
 pub use crate::relay::client::detect_dead_peer;
@@ -146,6 +147,15 @@
     },
 }
 
+/// Reply to a call of another node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedReply {
+    /// Result of the call.
+    pub reply: CallReply,
+    /// Pressure of the service, if it is or was under pressure.
+    pub pressure: Option<OwnerPressure>,
+}
+
 /// A lease that its holder hands over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseOffer {
@@ -225,7 +235,7 @@
 #[tarpc::service]
 pub trait Relay {
     /// Runs a statement at the owner of a service.
-    async fn run(call: Call) -> CallReply;
+    async fn run(call: Call) -> RelayedReply;
     /// Returns the status of the node.
     async fn report() -> PeerReport;
     /// Returns whether the store answers a read by the node in time.
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -24,12 +24,12 @@
 use crate::node_directory::NodeDirectory;
 use crate::owner_directory::Owner;
 use crate::relay::Call;
-use crate::relay::CallReply;
 use crate::relay::LeaseOffer;
 use crate::relay::MetadataRequest;
 use crate::relay::MetadataUpdate;
 use crate::relay::PeerReport;
 use crate::relay::RelayClient;
+use crate::relay::RelayedReply;
 use crate::relay::format::MAX_MESSAGE_BYTES;
 use crate::relay::format::RelayFormat;
 use crate::sync::lock;
@@ -244,7 +244,7 @@
         address: SocketAddr,
         call: Call,
         may_abandon: bool,
-    ) -> Result<CallReply, RelayError> {
+    ) -> Result<RelayedReply, RelayError> {
         let client = self.client(address).await?;
         let unresponsive = lock(&self.connections).entry(address).or_default().unresponsive.clone();
         let context =
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -18,6 +18,7 @@
 use crate::name::Name;
 use crate::node::Node;
 use crate::owner_directory::Owner;
+use crate::pressure_teller::PressureTeller;
 use crate::relay::Call;
 use crate::relay::CallReply;
 use crate::relay::LeaseOffer;
@@ -25,6 +26,7 @@
 use crate::relay::MetadataUpdate;
 use crate::relay::PeerReport;
 use crate::relay::Relay;
+use crate::relay::RelayedReply;
 use crate::relay::client::detect_dead_peer;
 use crate::relay::client::frame_codec;
 use crate::relay::format::RelayFormat;
@@ -38,13 +40,16 @@
 struct PeerServer {
     node: Arc<Node>,
     transactions: Arc<Mutex<HashSet<(Name, TransactionId)>>>,
+    pressure: Arc<Mutex<PressureTeller>>,
 }
 
 impl Relay for PeerServer {
-    async fn run(self, _: Context, call: Call) -> CallReply {
+    async fn run(self, _: Context, call: Call) -> RelayedReply {
         let service = call.service.clone();
         let previous = call.transaction;
         let reply = self.node.run_owned(call).await;
+        let current = self.node.owned_pressure(&service);
+        let pressure = lock(&self.pressure).tell(&service, current);
         let mut transactions = lock(&self.transactions);
         if let Some(transaction) = previous {
             transactions.remove(&(service.clone(), transaction));
@@ -52,7 +57,7 @@
         if let CallReply::Done { transaction: Some(transaction), .. } = &reply {
             transactions.insert((service, *transaction));
         }
-        reply
+        RelayedReply { reply, pressure }
     }
 
     async fn report(self, _: Context) -> PeerReport {
@@ -118,7 +123,8 @@
     }
     let framed = tarpc::tokio_util::codec::Framed::new(stream, frame_codec());
     let transport = serde_transport::new(framed, RelayFormat::new(false));
-    let server = PeerServer { node: node.clone(), transactions: Arc::default() };
+    let server =
+        PeerServer { node: node.clone(), transactions: Arc::default(), pressure: Arc::default() };
     let tracker = TaskTracker::new();
     let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
     let serving = requests.for_each(|request| {
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the core crate without the protocols of callers, members and the platform.
 
+mod back_pressure;
 mod commit_histories;
 mod commit_protections;
 mod configurations;
@@ -11,6 +12,7 @@
 mod member_lists;
 mod metadata_sources;
 mod nodes;
+mod owner_simulation;
 mod placements;
 mod pools;
 mod primaries;
