Saturate the end of an objective

The objective is the route's timeout if no objective is configured, and an owner takes it from other nodes unchecked: u64::MAX panics where arithmetic is checked, and wraps to a time in the past in a release build, so that the statement counts as late and would be refused at any pressure.

Change: saturating additions, as for the deadline and the permitted wait.

Ruled out: a bound on the objective when the configuration is decoded; it would not cover what other nodes send.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -409,7 +409,7 @@
         let started_at_ms = now_ms();
         let queue_until_ms = started_at_ms.saturating_add(call.max_queue_ms);
         let deadline_at_ms = started_at_ms.saturating_add(call.deadline_ms);
-        let objective_at_ms = started_at_ms + call.objective_ms;
+        let objective_at_ms = started_at_ms.saturating_add(call.objective_ms);
         let mut changes = self.owner_directory.changes();
         let is_retry = self.is_retry(&call);
         let mut may_have_run = false;
--- a/core/tests/core/extreme_values.rs
+++ b/core/tests/core/extreme_values.rs
@@ -139,7 +139,8 @@
         *present = configuration();
         present.version += 1;
         for route in present.routes.values_mut() {
-            Arc::make_mut(route).timeout_ms = u64::MAX;
+            let route = Arc::make_mut(route);
+            (route.timeout_ms, route.objective_ms) = (u64::MAX, u64::MAX);
         }
     });
     tokio::time::sleep(Duration::from_millis(2_000)).await;
