Forget levels that a tenant no longer uses

Cause: a tenant's bucket kept every level that was ever asked for. After a change of priorities in the configuration, a tenant with one priority still counted as one with several, and its tokens were kept apart by level at other owners whenever it was short of them. Levels that other nodes ask for are not checked, so the map also had no bound over time.

Change: a level is dropped 60 s after its last operation. Its demand has no weight by then; its part of the rate starts empty again, as for a new level.

Ruled out: dropping levels whose demand has decayed, after some seconds: a level with an operation every few seconds would lose the tokens of its minimum share that it waits for.

Result: levels_without_operations_are_forgotten failed before ("no other level asks for tokens") and passes now; the other tests of rates pass as before.

--- a/core/src/tenant_bucket.rs
+++ b/core/src/tenant_bucket.rs
@@ -31,6 +31,10 @@
 /// Time constant of the average of demand, in milliseconds.
 const DEMAND_WINDOW_MS: f64 = 1_000.0;
 
+/// Time after its last operation for which a level is kept, in milliseconds. Its part of the rate fills
+/// in a few seconds unless the rate is tiny, and its demand has no weight any more.
+const LEVEL_RETENTION_MS: u64 = 60_000;
+
 /// Retry delay for a tenant whose rate is zero, in milliseconds.
 const NO_RATE_RETRY_MS: u64 = 1_000;
 
@@ -113,6 +117,9 @@
     }
 
     fn record_demand(&mut self, now_ms: u64, level: u32, count: u32) {
+        self.levels.retain(|other, demand| {
+            *other == level || now_ms.saturating_sub(demand.updated_at_ms) <= LEVEL_RETENTION_MS
+        });
         let min_share_per_s = self.rate_per_s * MIN_SHARE;
         let demand = self.levels.entry(level).or_insert_with(|| {
             let mut min_share = TokenBucket::new(now_ms);
--- a/core/tests/core/rates.rs
+++ b/core/tests/core/rates.rs
@@ -128,6 +128,20 @@
     assert!(shares.iter().all(|share| *share >= 0.99), "{shares:?}");
 }
 
+/// Guards against tokens that are kept apart by level for a tenant whose operations have had one
+/// priority for minutes, and against levels that are remembered without end.
+#[test]
+fn levels_without_operations_are_forgotten() {
+    let mut bucket = TenantBucket::new(0);
+    bucket.configure(0, RATE_PER_S, BURST);
+    for level in 0..1_000 {
+        bucket.take(1_000, level, 100);
+    }
+    assert!(bucket.take(1_000, 0, 100).is_scarce, "the levels compete");
+    bucket.take(10 * 60_000, 1, 1);
+    assert!(!bucket.take(10 * 60_000, 1, 100).is_scarce, "no other level asks for tokens");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(200))]
 
