Let one refusal hold up single statements, not all for 1.5 s

Cause: a statement that was taken for a retry and refused for lack of credit put its mark back at once, so that the next statement of the tenant and route was taken for the same retry. While the expected wait lay between half of the objective and the objective, an entry node whose callers do not retry sent nothing for 1.5 s after its last other refusal, and nothing at all if the wait exceeded the objective once in 1.5 s.

Change: the mark counts again after half of the time that the refused caller was told, which is when the first of such callers may be back.

--- a/core/src/node/back_pressure.rs
+++ b/core/src/node/back_pressure.rs
@@ -162,7 +162,9 @@
         };
         let mut refusals = lock(&self.back_pressure.refusals);
         match reason {
-            LocalRefusal::RetryBudget => refusals.undo_match(&call.tenant, &call.route),
+            LocalRefusal::RetryBudget => {
+                refusals.undo_match(now_ms, &call.tenant, &call.route, retry_after_ms);
+            }
             _ => refusals.record(now_ms, &call.tenant, &call.route),
         }
         drop(refusals);
--- a/core/src/refusal_history.rs
+++ b/core/src/refusal_history.rs
@@ -11,6 +11,10 @@
 /// Time after a refusal within which a statement counts as a retry, in milliseconds.
 pub const RETRY_WINDOW_MS: u64 = 1_500;
 
+/// Ratio of the longest to the shortest time after which callers that are refused together are told to
+/// retry: the first of them may be back after the time that one of them was told, divided by this.
+const MAX_RETRY_SPREAD: u64 = 2;
+
 /// Least number of entries at which those past their window are removed.
 const MIN_CLEANUP_ENTRIES: usize = 1_024;
 
@@ -18,6 +22,10 @@
 struct RecentRefusals {
     unmatched: u32,
     last_at_ms: u64,
+    /// Refusals whose retries were refused as well and will come back.
+    returning: u32,
+    /// Time from which these count.
+    return_at_ms: u64,
 }
 
 impl RecentRefusals {
@@ -42,7 +50,7 @@
         }
         let recent = self.refusals.entry((tenant.clone(), route.clone())).or_default();
         if !recent.is_recent(now_ms) {
-            recent.unmatched = 0;
+            (recent.unmatched, recent.returning) = (0, 0);
         }
         recent.unmatched = recent.unmatched.saturating_add(1);
         recent.last_at_ms = now_ms;
@@ -53,6 +61,10 @@
     pub fn match_retry(&mut self, now_ms: u64, tenant: &Name, route: &Name) -> bool {
         let key = (tenant.clone(), route.clone());
         let Some(recent) = self.refusals.get_mut(&key) else { return false };
+        if recent.returning > 0 && now_ms >= recent.return_at_ms {
+            recent.unmatched = recent.unmatched.saturating_add(recent.returning);
+            recent.returning = 0;
+        }
         if recent.unmatched == 0 || !recent.is_recent(now_ms) {
             return false;
         }
@@ -60,12 +72,17 @@
         true
     }
 
-    /// Undoes a match, after the retry was refused for being one: it will come back. The window is
-    /// not extended, or else the first attempts of a tenant and route whose callers do not retry could
-    /// be taken for retries without end.
-    pub fn undo_match(&mut self, tenant: &Name, route: &Name) {
+    /// Undoes a match, after the retry was refused for being one and its caller was told to retry after
+    /// `retry_after_ms`: it counts again when the first of such callers may be back. If the match were free at once, the next statement would be taken for the
+    /// retry, and one refusal would hold up all statements of the tenant and route. The window is not
+    /// extended, or else the first attempts of a tenant and route whose callers do not retry could be
+    /// taken for retries without end.
+    pub fn undo_match(&mut self, now_ms: u64, tenant: &Name, route: &Name, retry_after_ms: u64) {
         if let Some(recent) = self.refusals.get_mut(&(tenant.clone(), route.clone())) {
-            recent.unmatched = recent.unmatched.saturating_add(1);
+            if recent.returning == 0 {
+                recent.return_at_ms = now_ms.saturating_add(retry_after_ms / MAX_RETRY_SPREAD);
+            }
+            recent.returning = recent.returning.saturating_add(1);
         }
     }
 }
--- a/core/tests/core/back_pressure.rs
+++ b/core/tests/core/back_pressure.rs
@@ -177,7 +177,7 @@
     history.record(0, &tenant, &route);
     for _ in 0..3 {
         assert!(history.match_retry(RETRY_WINDOW_MS, &tenant, &route));
-        history.undo_match(&tenant, &route);
+        history.undo_match(RETRY_WINDOW_MS, &tenant, &route, 0);
     }
     assert!(!history.match_retry(RETRY_WINDOW_MS + 1, &tenant, &route));
     history.record(2_000, &tenant, &route);
@@ -185,6 +185,26 @@
     assert!(!history.match_retry(2_000, &tenant, &route), "one refusal has one retry");
 }
 
+/// Guards against one refusal that makes all statements of a tenant and route count as retries, because
+/// the next one is refused as its retry and the next one after it again.
+#[test]
+fn one_refusal_holds_up_single_statements() {
+    let (tenant, route) = ("families".into(), "bookings".into());
+    let retry_after_ms = 100;
+    let mut history = RefusalHistory::default();
+    history.record(0, &tenant, &route);
+    let mut held_up = 0;
+    for now_ms in 1..=RETRY_WINDOW_MS {
+        if history.match_retry(now_ms, &tenant, &route) {
+            history.undo_match(now_ms, &tenant, &route, retry_after_ms);
+            held_up += 1;
+        }
+    }
+    // Callers that are told to retry after 50 to 100 ms come back at most this often.
+    assert!(held_up <= 1 + RETRY_WINDOW_MS / 50, "{held_up} statements are held up");
+    assert!(held_up >= RETRY_WINDOW_MS / 100, "only {held_up} retries are known as such");
+}
+
 /// Guards against messages that grow without load.
 #[test]
 fn pressure_travels_only_while_there_is_some_and_once_after_it() {
--- a/core/tests/core/owner_simulation.rs
+++ b/core/tests/core/owner_simulation.rs
@@ -210,7 +210,9 @@
         };
         if let Admission::Refuse { reason, retry_after_ms, .. } = admission {
             match reason {
-                LocalRefusal::RetryBudget => history.undo_match(&tenant, &route),
+                LocalRefusal::RetryBudget => {
+                    history.undo_match(self.now_ms, &tenant, &route, retry_after_ms);
+                }
                 _ => history.record(self.now_ms, &tenant, &route),
             }
             self.see(Seen::RefusedLocally);
