Bound the tokens that another node is granted at once

Cause: an owner granted another node any number of tokens, one by one. A node that asks for u32::MAX gets all tokens of the tenant, and counts as a demand for which less urgent levels leave a quarter of the burst.

Change: the owner grants at most MAX_FETCH (32), which is the most that a node asks for.

Ruled out: taking the tokens in one step; it would bound the time, but not what one node gets.

--- a/core/src/rate_admission.rs
+++ b/core/src/rate_admission.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::sync::lock;
 use crate::tenant_rates::home_service;
+use crate::token_cache::MAX_FETCH;
 use crate::token_cache::TokenDecision;
 use crate::token_grant::TokenGrant;
 
@@ -81,12 +82,12 @@
         }
     }
 
-    /// Grants up to `count` tokens of a tenant for statements of a level, or returns `None` if this node does not count the
-    /// tenant's operations.
+    /// Grants another node up to `count` tokens of a tenant for statements of a level, but no more than
+    /// [`MAX_FETCH`], or returns `None` if this node does not count the tenant's operations.
     pub fn grant_tokens(&self, tenant: &Name, level: u32, count: u32) -> Option<TokenGrant> {
         let known = self.configuration.known()?;
         let home = home_service(&known.configuration, tenant)?;
-        self.grant_tokens_as_owner(&home, tenant, level, count)
+        self.grant_tokens_as_owner(&home, tenant, level, count.min(MAX_FETCH))
     }
 
     fn grant_tokens_as_owner(
--- a/core/src/token_cache.rs
+++ b/core/src/token_cache.rs
@@ -11,8 +11,8 @@
 /// Time for which the tokens of one fetch should last at the average demand, in milliseconds.
 const PREFETCH_MS: u64 = 200;
 
-/// Most tokens that are fetched at once.
-const MAX_FETCH: u32 = 32;
+/// Most tokens that are fetched at once, and that another node is granted at once.
+pub const MAX_FETCH: u32 = 32;
 
 /// Burst of the fallback bucket: small enough that all nodes together stay within the tolerated
 /// excess over the rate.
--- a/core/tests/core/extreme_values.rs
+++ b/core/tests/core/extreme_values.rs
@@ -21,6 +21,7 @@
 use snipehead_core::store_clock::StoreClock;
 use snipehead_core::succession::Leadership;
 use snipehead_core::succession::Succession;
+use snipehead_core::token_cache::MAX_FETCH;
 use snipehead_core::token_cache::TokenCache;
 use snipehead_core::token_grant::TokenGrant;
 
@@ -131,6 +132,18 @@
     }
 }
 
+/// A node that asks for any number of tokens neither takes the whole burst of a tenant nor holds the
+/// owner up while it counts them.
+#[tokio::test]
+async fn a_node_gets_few_tokens_at_once() {
+    let cluster = TestCluster::start(1).await;
+    // The rate is 1,000/s.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let node = &cluster.hosts[0].node;
+    let grant = node.grant_tokens(&"families".into(), 1, u32::MAX).expect("it counts the tenant");
+    assert_eq!(grant.granted, MAX_FETCH);
+}
+
 /// A time limit without end is a mistake of an operator; statements run all the same.
 #[tokio::test]
 async fn a_route_with_an_endless_time_limit_serves_statements() {
