--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod admission_model;
 mod admissions;
+mod back_pressure;
 mod commit_histories;
 mod commit_protections;
 mod configurations;
@@ -13,6 +14,7 @@
 mod member_lists;
 mod metadata_sources;
 mod nodes;
+mod owner_simulation;
 mod placements;
 mod pools;
 mod primaries;
