core, platform: usage reports

Cause: the platform expects one report of the executed requests for each window of true time; the daemon counts and reports nothing.

Change: owners count requests when a member begins to execute them, and send cumulative counts to the reporter and its first deputy. The reporter, the owner of the first service, claims a record in the store, writes each window with its exact counts there, and sends it within 2.5 s of that write; a new holder waits 3.6 s. Windows follow the median of the hosts' clock offsets to the store's clock, which travel with requests for metadata. Settings usage_window_s, usage_late_s and duty_gap_ms; without the first nothing is counted.

Ruled out: reports without a record, since a successor could not repeat the same counts; the reporter's own clock, which may jump; counts in the store by each owner, which costs a write for each.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -51,3 +51,4 @@
 pub mod token_cache;
 pub mod transaction_id;
 pub mod unanswered_work;
+pub mod usage;
--- a/core/src/metadata_server.rs
+++ b/core/src/metadata_server.rs
@@ -29,6 +29,8 @@
     pub async fn metadata_for(&self, request: MetadataRequest) -> Option<MetadataUpdate> {
         let received_at_ms = now_ms();
         lock(&self.nodes).observe(received_at_ms, request.sender.clone(), 0);
+        let offsets_ms = &request.clock_offsets_ms;
+        self.usage.observe_offsets(received_at_ms, &request.sender.name, offsets_ms);
         let mut synced = self.synced.subscribe();
         let mut owners = self.owner_directory.changes();
         loop {
@@ -87,6 +89,7 @@
             members: new_members.map(|entries| entries.to_vec()),
             members_age_ms: members_age_ms.filter(|_| request.members.is_some()),
             store_clock: leases.store_clock(now_ms),
+            fleet_offset_ms: self.usage.fleet_offset_ms(),
             leases: leases.observed_leases(now_ms, &needed),
         })
     }
--- a/core/src/metadata_sync.rs
+++ b/core/src/metadata_sync.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::now_ms;
+use crate::clock::unix_ms;
 use crate::configuration::Configuration;
 use crate::lease_records::LEASE_PREFIX;
 use crate::lease_records::apply_lease;
@@ -184,7 +185,7 @@
 }
 
 /// Returns the owner of the first service, by name, that has a known owner: the reader.
-fn reader_address(node: &Node) -> Option<SocketAddr> {
+pub(crate) fn reader_address(node: &Node) -> Option<SocketAddr> {
     let services = configured_services(node);
     let owner = services.iter().find_map(|service| node.owner_directory.owner(service))?;
     Some(owner.address)
@@ -259,6 +260,7 @@
         candidates,
         members: owns_some.then_some(members_digest),
         leases: followed_services(node),
+        clock_offsets_ms: node.usage_offset_sample(),
     };
     let version = known.map_or(0, |known| known.configuration.version);
     let limit_ms = node.metadata_age_limit_ms();
@@ -314,6 +316,7 @@
         let reading = ClockReading { sent_at_ms, received_at_ms, at_most_ms, at_least_ms };
         lock(&node.lease_table).record_store_clock(&reading);
     }
+    node.usage.adopt_offset(update.fleet_offset_ms);
     apply_candidates(node, update.candidates.unwrap_or_default());
     for (service, owner) in update.owners.unwrap_or_default() {
         apply_owner(node, &service, owner);
@@ -477,6 +480,13 @@
         (limit_ms / METADATA_AGE_DIVISOR).max(MIN_METADATA_AGE_LIMIT_MS)
     }
 
+    /// Returns the offsets of clocks that this node reports with a request for metadata.
+    fn usage_offset_sample(&self) -> Vec<i64> {
+        let now_ms = now_ms();
+        let bounds = lock(&self.lease_table).store_clock(now_ms);
+        self.usage.offset_sample(now_ms, bounds, unix_ms())
+    }
+
     /// Tells waiting requests of other nodes that the metadata was confirmed.
     fn notify_synced(&self) {
         self.synced.send_modify(|count| *count += 1);
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -46,6 +46,9 @@
 use crate::token_cache::TokenCache;
 use crate::transaction_id::TransactionId;
 use crate::unanswered_work::UnansweredWork;
+use crate::usage::Usage;
+use crate::usage::UsageSettings;
+use crate::usage::sink::UsageSink;
 
 /// Delay before a call that found no owner is retried, unless an owner becomes known earlier.
 const OWNER_RETRY_INTERVAL: Duration = Duration::from_millis(40);
@@ -82,6 +85,8 @@
     /// Longest wait, while a primary is lost, for a successor that has every acknowledged commit, in
     /// milliseconds.
     pub promotion_wait_ms: u64,
+    /// Times of usage reports; without them, usage is not reported.
+    pub usage: Option<UsageSettings>,
 }
 
 /// External systems that a node uses.
@@ -93,6 +98,8 @@
     pub connector: Arc<dyn MemberConnector>,
     /// Orders promotions of members.
     pub promoter: Arc<dyn MemberPromoter>,
+    /// Receives usage reports; without it, usage is not reported.
+    pub usage_sink: Option<Arc<dyn UsageSink>>,
 }
 
 /// The process on an entry host, with everything that its tasks share.
@@ -108,6 +115,7 @@
     pub(crate) members: Arc<MemberDirectory>,
     pub(crate) token_cache: Mutex<TokenCache>,
     pub(crate) nodes: Arc<Mutex<NodeDirectory>>,
+    pub(crate) usage: Usage,
     pub(crate) records_version: Mutex<Option<(u64, u64)>>,
     pub(crate) synced: watch::Sender<u64>,
     pub(crate) metadata_source: Mutex<Option<SyncStep>>,
@@ -131,6 +139,8 @@
             capacity: settings.capacity,
         };
         let nodes = Arc::new(Mutex::new(NodeDirectory::new(record)));
+        let sink = dependencies.usage_sink.clone();
+        let usage = Usage::new(settings.usage, sink, settings.identity.incarnation);
         Arc::new(Self {
             lease_table: Mutex::new(LeaseTable::new(settings.identity.clone())),
             settings,
@@ -143,6 +153,7 @@
             members: Arc::default(),
             token_cache: Mutex::default(),
             nodes,
+            usage,
             records_version: Mutex::default(),
             synced: watch::Sender::new(0),
             metadata_source: Mutex::default(),
@@ -181,6 +192,7 @@
         let is_candidate = lock(&self.nodes).is_candidate();
         let _ = writeln!(text, "is_candidate {}", u8::from(is_candidate));
         let _ = writeln!(text, "metadata_source{{from=\"{}\"}} 1", self.metadata_source_name());
+        self.usage.render_metrics(&mut text);
         let services: Vec<Arc<OwnedService>> = lock(&self.services).values().cloned().collect();
         for service in services {
             service.summary().render_metrics(&mut text);
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -35,6 +35,7 @@
 use crate::store::WriteOutcome;
 use crate::succession::Leadership;
 use crate::sync::lock;
+use crate::usage;
 
 /// Interval at which the lease table is checked for due writes.
 const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -78,6 +79,7 @@
     node.tasks.spawn(metadata_sync::sync_metadata(node.clone()));
     node.tasks.spawn(maintain_leases(node.clone()));
     node.tasks.spawn(rebalancer::rebalance_services(node.clone()));
+    usage::tasks::start(node);
 }
 
 /// Acquires, renews and releases leases, and hands services over, until the node stops.
@@ -225,6 +227,7 @@
             members: node.members.clone(),
             configuration: node.configuration.clone(),
             metrics: node.metrics.clone(),
+            usage: node.usage.meter.clone(),
             promotion_wait_ms: node.settings.promotion_wait_ms,
             node: node.clone(),
         };
@@ -474,6 +477,7 @@
             self.transaction_drain.cancel();
         };
         futures::join!(handovers, drains);
+        usage::tasks::flush(self).await;
     }
 
     /// Stops all services and tasks of the node at once.
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -30,6 +30,8 @@
 use crate::store_clock::ClockBounds;
 use crate::tenant_rates::TokenGrant;
 use crate::transaction_id::TransactionId;
+use crate::usage::update::UsageReceipt;
+use crate::usage::update::UsageUpdate;
 
 /// Age of the last confirmation of the configuration up to which a node counts as reaching the
 /// store, in milliseconds: one and a half rounds of synchronization.
@@ -197,6 +199,9 @@
     pub members: Option<u64>,
     /// Services whose leases it needs, to take over one that expires.
     pub leases: Vec<Name>,
+    /// Offset of its clock to the store's, in milliseconds, and some offsets that others have
+    /// reported to it; empty if usage is not reported.
+    pub clock_offsets_ms: Vec<i64>,
 }
 
 /// Metadata that the requesting node lacks.
@@ -217,6 +222,8 @@
     pub members_age_ms: Option<u64>,
     /// Bounds of the store's clock.
     pub store_clock: Option<ClockBounds>,
+    /// Offset of the fleet's time to the store's clock, in milliseconds.
+    pub fleet_offset_ms: Option<i64>,
     /// The requested leases.
     pub leases: Vec<ObservedLease>,
 }
@@ -239,6 +246,8 @@
     async fn fetch_metadata(request: MetadataRequest) -> Option<MetadataUpdate>;
     /// Takes rate-limit tokens of a tenant from the owner of the tenant's home service.
     async fn take_tokens(tenant: Name, count: u32) -> Option<TokenGrant>;
+    /// Collects the usage counts of an owner.
+    async fn send_usage(update: UsageUpdate) -> UsageReceipt;
     /// Returns whether the node reaches the member of a service at an address.
     async fn reaches_member(service: Name, address: SocketAddr) -> bool;
 }
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -34,6 +34,8 @@
 use crate::relay::format::RelayFormat;
 use crate::sync::lock;
 use crate::tenant_rates::TokenGrant;
+use crate::usage::update::UsageReceipt;
+use crate::usage::update::UsageUpdate;
 
 /// Longest wait for a connection to a node: many round trips between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -360,6 +362,23 @@
         Ok(answered)
     }
 
+    /// Sends usage counts to a node that collects them.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn send_usage(
+        &self,
+        address: SocketAddr,
+        update: UsageUpdate,
+    ) -> Result<UsageReceipt, RelayError> {
+        let client = self.client(address).await?;
+        let calling = client.send_usage(control_context(), update);
+        let answered = calling.await.map_err(|error| self.disconnect(address, &error))?;
+        self.record_answer(address);
+        Ok(answered)
+    }
+
     /// Asks another node whether it reaches a member.
     ///
     /// # Errors
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -31,6 +31,8 @@
 use crate::sync::lock;
 use crate::tenant_rates::TokenGrant;
 use crate::transaction_id::TransactionId;
+use crate::usage::update::UsageReceipt;
+use crate::usage::update::UsageUpdate;
 
 /// Serves one connection of another node. Transactions that were opened over the connection are
 /// aborted when it ends.
@@ -79,6 +81,10 @@
         self.node.grant_tokens(&tenant, count)
     }
 
+    async fn send_usage(self, _: Context, update: UsageUpdate) -> UsageReceipt {
+        self.node.usage.collect(&update)
+    }
+
     async fn reaches_member(self, _: Context, service: Name, address: SocketAddr) -> bool {
         self.node.reaches_member(&service, address).await
     }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -55,6 +55,7 @@
 use crate::sync::lock;
 use crate::tenant_rates::TenantRates;
 use crate::tenant_rates::TokenGrant;
+use crate::usage::meter::UsageMeter;
 
 /// Shortest ownership after which a service may be moved to balance the load, in milliseconds. By
 /// then its members have been probed and connections are open.
@@ -82,6 +83,8 @@
     pub configuration: Arc<ConfigurationWatch>,
     /// Counters and latency histograms.
     pub metrics: Arc<Metrics>,
+    /// Counts requests for usage reports.
+    pub usage: Arc<UsageMeter>,
     /// Longest wait for a successor that has every acknowledged commit, in milliseconds.
     pub promotion_wait_ms: u64,
     /// The node itself.
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -15,6 +15,7 @@
 use crate::member::MemberReply;
 use crate::name::Name;
 use crate::service::OwnedService;
+use crate::service::connection::Connection;
 use crate::service::connection::PooledConnection;
 use crate::service::pool::Grant;
 use crate::sync::lock;
@@ -137,6 +138,10 @@
         };
         let wait = Duration::from_millis(deadline_at_ms.saturating_sub(now_ms()));
         let sent_at_us = now_us();
+        let service = &self.service;
+        let token = service.fencing_token;
+        let metered =
+            service.context.usage.begin(&service.name, token, connection.tenant(), commands);
         let replied = tokio::select! {
             biased;
             replied = self.service.exchange(&self.member.key, &mut connection.inner, commands) => {
@@ -148,6 +153,11 @@
         let mut pool = lock(&self.service.pool);
         match replied {
             Ok(replies) => {
+                if let Some(mut metered) = metered
+                    && replies.last().is_some_and(was_not_executed)
+                {
+                    metered.discard();
+                }
                 let position = replies.iter().rev().find_map(|reply| reply.position);
                 pool.record_reply(now_ms(), &self.member.key, position);
                 if !replies.iter().any(was_not_executed) {
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -104,6 +104,7 @@
         candidates: None,
         members: None,
         leases: Vec::new(),
+        clock_offsets_ms: Vec::new(),
     };
     let asked = Instant::now();
     let update = node.metadata_for(request).await.expect("the node has metadata");
@@ -144,6 +145,7 @@
         candidates: None,
         members: Some(0),
         leases: Vec::new(),
+        clock_offsets_ms: Vec::new(),
     };
     let update = node.metadata_for(request).await.expect("the node has metadata");
     assert_eq!(update.members, None);
--- a/core/tests/core/test_cluster.rs
+++ b/core/tests/core/test_cluster.rs
@@ -125,6 +125,7 @@
             apply_limit_ms: APPLY_LIMIT_MS,
             promotion_wait_ms: PROMOTION_WAIT_MS,
             grace_ms: 2_000,
+            usage: None,
         };
         let dependencies = NodeDependencies {
             store: self.store.clone(),
@@ -133,6 +134,7 @@
                 group: self.group.clone(),
             }),
             promoter: Arc::new(StandInPromoter(self.group.clone())),
+            usage_sink: None,
         };
         let node = Node::new(settings, dependencies);
         ownership::start(&node);
