core, platform: tests of usage reports

Change: a model of three hosts, the store and the platform's call runs random schedules; two daemons as processes, of which the reporter is killed; the settings template with and without its sections. The stand-in for the store can let its clock run, as the leases of two daemons require.

Ruled out: a lost record together with wrong clocks in one schedule.

--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -27,4 +27,6 @@
 mod successions;
 mod test_cluster;
 mod transaction_tables;
+mod usage_cluster;
+mod usage_reports;
 mod write_permits;
