--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -63,3 +63,4 @@
 pub mod token_grant;
 pub mod transaction_id;
 pub mod unanswered_work;
+pub mod usage;
