--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -65,7 +65,8 @@
         let connection = Some(connection);
         let service = self.service.clone();
         let Grant { member, route, down, .. } = grant;
-        Some(BorrowedConnection { service, member, route, connection, down })
+        let is_counted = false;
+        Some(BorrowedConnection { service, member, route, is_counted, connection, down })
     }
 }
 
@@ -108,6 +109,8 @@
     /// Member that it is connected to.
     pub(super) member: Arc<MemberEntry>,
     route: Name,
+    /// Whether the operation that it was borrowed for is counted as usage.
+    is_counted: bool,
     connection: Option<PooledConnection>,
     /// Cancelled when a probe of the member fails or the member is no longer listed.
     down: CancellationToken,
@@ -140,8 +143,11 @@
         let sent_at_us = now_us();
         let service = &self.service;
         let token = service.fencing_token;
-        let metered =
-            service.context.usage.begin(&service.name, token, connection.tenant(), commands);
+        let metered = (!self.is_counted).then(|| {
+            service.context.usage.begin(&service.name, token, connection.tenant(), commands)
+        });
+        let metered = metered.flatten();
+        self.is_counted |= metered.is_some();
         let replied = tokio::select! {
             biased;
             replied = self.service.exchange(&self.member.key, &mut connection.inner, commands) => {
@@ -157,6 +163,7 @@
                     && replies.last().is_some_and(was_not_executed)
                 {
                     metered.discard();
+                    self.is_counted = false;
                 }
                 let position = replies.iter().rev().find_map(|reply| reply.position);
                 pool.record_reply(now_ms(), &self.member.key, position);
--- a/core/src/usage/counts.rs
+++ b/core/src/usage/counts.rs
@@ -17,9 +17,11 @@
 /// Most steps whose requests are kept while the fleet's time is not known: one minute.
 const MAX_UNTIMED_STEPS: usize = 1_200;
 
-/// Returns whether a command counts as one request: each read, each write and each COMMIT does.
+/// Returns whether a command counts as a request. A request is an operation: a statement outside of
+/// transactions, or a transaction, which counts with its first statement. So later statements of a
+/// transaction are not passed to this function.
 pub fn is_counted(command: &MemberCommand) -> bool {
-    matches!(command, MemberCommand::Run { .. } | MemberCommand::Commit { .. })
+    matches!(command, MemberCommand::Run { .. })
 }
 
 #[derive(Clone, Copy, Debug, Default)]
