Keep connections by the demand of their tenants

A third of the limit was left unused for the next owner.

Change: connection_retention.rs counts the recent statements of each tenant at a member. The idle connection that is the least likely to be needed is closed; a second one of a tenant counts by the tenant's share of the demand. One connection for each slot is left for the next owner. Half of the usable slots at most open connections. A member that refuses a connection as too many gets no more than it has for 1 s. A read that would close another tenant's connection costs 8 ms. The recent utilization of a member counts as in a queue, so that busy members are chosen evenly.

--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -1,6 +1,7 @@
 //! A service that this node owns: connection pool, open transactions and choice of primary.
 
 pub mod connection;
+pub mod connection_retention;
 pub mod matched_connection;
 pub mod member_load;
 pub mod pool;
@@ -417,6 +418,7 @@
             service_ratio: pool.service_times().member_ratio(now_ms, key),
             failure_share: pool.failure_share(now_ms, key),
             connections: pool.connections(key).0,
+            evicted_connections: member.evicted_connections,
         });
         ServiceSummary {
             name: self.name.clone(),
@@ -493,6 +495,8 @@
             let _ = writeln!(text, "member_service_ratio{{{labels}}} {:.2}", member.service_ratio);
             let _ = writeln!(text, "member_failure_share{{{labels}}} {:.2}", member.failure_share);
             let _ = writeln!(text, "member_connections{{{labels}}} {}", member.connections);
+            let evicted = member.evicted_connections;
+            let _ = writeln!(text, "member_connections_evicted{{{labels}}} {evicted}");
         }
     }
 }
@@ -516,6 +520,8 @@
     pub failure_share: f64,
     /// Number of open connections.
     pub connections: usize,
+    /// Number of connections that this owner closed to make room for those of other tenants.
+    pub evicted_connections: u64,
 }
 
 /// Removes a waiting statement from the queue when its caller stops waiting.
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -15,6 +15,7 @@
 use crate::member::MemberReply;
 use crate::name::Name;
 use crate::service::OwnedService;
+use crate::service::connection::Connection;
 use crate::service::connection::PooledConnection;
 use crate::service::pool::Grant;
 use crate::sync::lock;
@@ -84,7 +85,12 @@
         let grant = self.grant.take()?;
         let connection = Some(connection);
         let service = self.service.clone();
-        let Grant { member, route, down, .. } = grant;
+        let Grant { member, route, down, is_opening, .. } = grant;
+        if is_opening {
+            lock(&service.pool).end_opening(&member.key);
+            // Another connection may be opened now.
+            service.dispatch();
+        }
         Some(BorrowedConnection { service, member, route, connection, down })
     }
 }
@@ -94,6 +100,9 @@
         let Some(grant) = self.grant.take() else { return };
         let key = &grant.member.key;
         let mut pool = lock(&self.service.pool);
+        if grant.is_opening {
+            pool.end_opening(key);
+        }
         match grant.connection {
             Some(connection) => drop(pool.return_connection(key, connection)),
             None if grant.is_counted => pool.connection_closed(key),
@@ -214,6 +223,13 @@
     pub(super) fn return_to_pool(mut self) {
         if let Some(connection) = self.connection.take_if(|kept| kept.inner.is_reusable()) {
             let surplus = lock(&self.service.pool).return_connection(&self.member.key, connection);
+            if let Some(closed) = &surplus {
+                log::debug!(
+                    event = "connection_not_kept", service = &*self.service.name,
+                    member = &*self.member.key.id, tenant = &**closed.tenant();
+                    "the least demanded idle connection, or one to a member that leaves, is closed"
+                );
+            }
             drop(surplus);
             self.service.dispatch();
         }
--- a/core/src/service/pool.rs
+++ b/core/src/service/pool.rs
@@ -74,6 +74,8 @@
     pub connection: Option<Conn>,
     /// Whether the pool counts a connection for this grant: the idle one, or the one to be opened.
     pub is_counted: bool,
+    /// Whether the caller is expected to open a connection, which the pool counts as being opened.
+    pub is_opening: bool,
     /// Cancelled when a probe of the member fails, or when the member is no longer listed.
     pub down: CancellationToken,
 }
--- a/core/src/service/pool/connections.rs
+++ b/core/src/service/pool/connections.rs
@@ -4,6 +4,7 @@
 use crate::member::MemberKey;
 use crate::outcome::Failure;
 use crate::service::connection::Connection;
+use crate::service::connection_retention::retained_limit;
 use crate::service::pool::Grant;
 use crate::service::pool::Pool;
 use crate::service::pool::RESERVED_CONNECTIONS;
@@ -19,6 +20,11 @@
 /// free when a statement ends or a connection is open.
 const BUSY_CONNECT_PAUSE_MS: u64 = 15;
 
+/// Time for which no more connections are opened than a member had when it refused one, in
+/// milliseconds. Members keep the connections of an unreachable owner open for up to 3 s; they may
+/// also close them sooner.
+const FORMER_CONNECTIONS_MS: u64 = 1_000;
+
 impl<Conn> Pool<Conn>
 where
     Conn: Connection,
@@ -28,13 +34,6 @@
         self.max_connections - RESERVED_CONNECTIONS
     }
 
-    /// Returns the number of open connections to a member above which a connection is closed each
-    /// time that one is returned. The rest of the limit is left for the next owner, because members
-    /// keep the connections of an unreachable owner open for seconds.
-    fn retained_limit(&self) -> usize {
-        (self.connection_limit() * 2 / 3).max(1)
-    }
-
     /// Grants a slot of a member, with an idle connection if there is one.
     pub(super) fn grant(
         &mut self,
@@ -54,12 +53,16 @@
             _ => member.take_idle(&request.tenant),
         };
         let is_counted = !matches!(request.target, SlotTarget::Transaction(_));
-        if connection.is_none() && is_counted {
-            if member.open_connections >= limit && !member.idle_connections.is_empty() {
-                surplus.push(member.idle_connections.remove(0));
-                member.open_connections -= 1;
+        let is_opening = connection.is_none() && is_counted;
+        if is_counted {
+            member.retention.record_use(now_ms, &request.tenant);
+        }
+        if is_opening {
+            if member.open_connections >= member.connection_limit(now_ms, limit) {
+                surplus.extend(member.evict());
             }
             member.open_connections += 1;
+            member.retention.begin_opening(now_ms);
         }
         let grant = Grant {
             member: member.entry.clone(),
@@ -67,6 +70,7 @@
             write_permit,
             connection,
             is_counted,
+            is_opening,
             down: member.down.clone(),
         };
         Some(grant)
@@ -82,18 +86,24 @@
     /// Puts a connection back into the pool. Returns one to close if there are too many, or if the
     /// member must leave or is no longer listed.
     pub fn return_connection(&mut self, key: &MemberKey, connection: Conn) -> Option<Conn> {
-        let limit = self.retained_limit();
+        let limit = self.connection_limit();
         let Some(member) = self.members.get_mut(key) else { return Some(connection) };
         if member.must_leave {
             member.open_connections = member.open_connections.saturating_sub(1);
             return Some(connection);
         }
         member.idle_connections.push(connection);
-        if member.open_connections <= limit {
+        if member.open_connections <= retained_limit(limit, member.entry.slots) {
             return None;
         }
-        member.open_connections -= 1;
-        Some(member.idle_connections.remove(0))
+        member.evict()
+    }
+
+    /// Stops counting a connection as one that is being opened.
+    pub fn end_opening(&mut self, key: &MemberKey) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.retention.end_opening();
+        }
     }
 
     /// Removes all idle connections from the pool and returns them.
@@ -127,6 +137,14 @@
             matches!(error, MemberError::Refused(refusal) if refusal.failure == Failure::Busy);
         let pause_ms = if is_busy { BUSY_CONNECT_PAUSE_MS } else { CONNECT_PAUSE_MS };
         member.no_connect_until_ms = now_ms + pause_ms;
+        let is_full = matches!(
+            error,
+            MemberError::Refused(refusal) if refusal.failure == Failure::TooManyConnections
+        );
+        if is_full {
+            let until_ms = now_ms + FORMER_CONNECTIONS_MS;
+            member.refused_above = Some((member.open_connections.max(1), until_ms));
+        }
         if is_busy { self.record_busy(now_ms, key) } else { None }
     }
 }
--- a/core/src/service/pool/pool_member.rs
+++ b/core/src/service/pool/pool_member.rs
@@ -10,6 +10,8 @@
 use crate::member::MemberStatus;
 use crate::name::Name;
 use crate::service::connection::Connection;
+use crate::service::connection_retention::ConnectionRetention;
+use crate::service::connection_retention::may_open;
 use crate::service::member_load::MemberLoad;
 use crate::service::usable_slots::UsableSlots;
 
@@ -39,6 +41,8 @@
     pub is_unpromotable: bool,
     /// Number of running statements, connections that are being opened for one included.
     pub in_flight: usize,
+    /// Number of idle connections that were closed to make room for others.
+    pub evicted_connections: u64,
     /// Number of the owner's probes that are running.
     pub probes: usize,
     /// Time since which statements have been running without any of them ending.
@@ -52,6 +56,10 @@
     pub(super) lagged_at_ms: Option<u64>,
     pub(super) cold_until_ms: u64,
     pub(super) cold_grants: VecDeque<u64>,
+    pub(super) retention: ConnectionRetention,
+    /// Number of connections at which the member refused another one, and the end of the time for
+    /// which no more are opened.
+    pub(super) refused_above: Option<(usize, u64)>,
     pub(super) load: MemberLoad,
     pub(super) usable_slots: UsableSlots,
 }
@@ -70,6 +78,7 @@
             is_refused: false,
             is_unpromotable: false,
             in_flight: 0,
+            evicted_connections: 0,
             probes: 0,
             busy_since_ms: 0,
             granted_at_ms: 0,
@@ -80,6 +89,8 @@
             lagged_at_ms: None,
             cold_until_ms: 0,
             cold_grants: VecDeque::new(),
+            retention: ConnectionRetention::default(),
+            refused_above: None,
             load: MemberLoad::default(),
             usable_slots: UsableSlots::default(),
         }
@@ -112,6 +123,34 @@
         Some(self.idle_connections.remove(position))
     }
 
+    /// Closes the idle connection that is the least likely to be needed soon.
+    pub(super) fn evict(&mut self) -> Option<Conn> {
+        let tenants = self.idle_connections.iter().map(Connection::tenant);
+        let victim = self.retention.victim(tenants)?;
+        self.open_connections = self.open_connections.saturating_sub(1);
+        self.evicted_connections += 1;
+        Some(self.idle_connections.remove(victim))
+    }
+
+    /// Returns how many connections to it may be open, of the `listed` ones.
+    pub(super) fn connection_limit(&self, now_ms: u64, listed: usize) -> usize {
+        match self.refused_above {
+            Some((open, until_ms)) if now_ms < until_ms => open.min(listed),
+            _ => listed,
+        }
+    }
+
+    /// Returns whether a connection may be opened now, if necessary in place of an idle one. As long
+    /// as none is open, all slots are used for that.
+    pub(super) fn may_connect(&self, now_ms: u64, listed: usize) -> bool {
+        let opening = self.retention.opening(now_ms);
+        let has_room = self.open_connections < self.connection_limit(now_ms, listed)
+            || !self.idle_connections.is_empty();
+        now_ms >= self.no_connect_until_ms
+            && has_room
+            && (self.open_connections <= opening || may_open(opening, self.usable_slots(now_ms)))
+    }
+
     /// Returns whether its log may include a position.
     pub(super) fn may_include(&self, now_ms: u64, floor: LogPosition) -> bool {
         self.status.is_some()
--- a/core/src/service/pool/selection.rs
+++ b/core/src/service/pool/selection.rs
@@ -7,6 +7,7 @@
 use crate::name::Name;
 use crate::outcome::Failure;
 use crate::service::connection::Connection;
+use crate::service::connection_retention::retained_limit;
 use crate::service::pool::Pool;
 use crate::service::pool::PoolMember;
 use crate::service::pool::SlotRequest;
@@ -25,6 +26,11 @@
 /// is paid once for many statements.
 const NEW_CONNECTION_MS: f64 = 4.0;
 
+/// The same if an idle connection of another tenant is closed for it, in milliseconds: that tenant may
+/// have to open it again. It is less than the cost of a full member, so that a tenant's reads leave
+/// the member of its connection once that is much busier.
+const EVICTING_CONNECTION_MS: f64 = 8.0;
+
 /// Cost of a read at the primary, whose slots writes need, in milliseconds.
 const PRIMARY_MS: f64 = 3.0;
 
@@ -52,6 +58,10 @@
 /// faster than others run them has a free slot most of the time.
 const OUTLIER_INTERVAL_MS: u64 = 50;
 
+/// Utilization from which its load grows no faster, so that a member is not avoided because of a
+/// moment in which all of its slots were in use.
+const MAX_UTILIZATION: f64 = 0.75;
+
 /// The owner's numbers are exact and present, so they need no discount.
 const NO_DISCOUNT_MS: f64 = 1.0;
 
@@ -128,23 +138,32 @@
                 self.can_accept(now_ms, key, &request.tenant).then(|| key.clone())
             }
             SlotTarget::Reader { floor, excluded } => {
+                let mut able: Vec<(&MemberKey, &PoolMember<Conn>)> = self
+                    .members
+                    .iter()
+                    .filter(|(key, member)| {
+                        let is_primary = self.primary.as_ref() == Some(key);
+                        (excluded.as_ref() != Some(key) || self.members.len() == 1)
+                            && (is_primary || member.may_include(now_ms, *floor))
+                            && (!is_primary || !self.is_primary_paused)
+                            && self.can_accept(now_ms, key, &request.tenant)
+                    })
+                    .collect();
+                if able.is_empty() {
+                    return None;
+                }
                 let least_failures = self.least_failures(now_ms);
-                let able = self.members.iter().filter(|(key, member)| {
-                    let is_primary = self.primary.as_ref() == Some(key);
-                    (excluded.as_ref() != Some(key) || self.members.len() == 1)
-                        && (is_primary || member.may_include(now_ms, *floor))
-                        && (!is_primary || !self.is_primary_paused)
-                        && self.can_accept(now_ms, key, &request.tenant)
-                        && (self.may_try(now_ms, member)
-                            || !self.is_outlier(now_ms, key, least_failures))
+                able.retain(|(key, member)| {
+                    self.may_try(now_ms, member) || !self.is_outlier(now_ms, key, least_failures)
                 });
-                let (keys, candidates): (Vec<&MemberKey>, Vec<Candidate>) = able
+                let candidates: Vec<Candidate> = able
+                    .iter()
                     .map(|(key, member)| {
-                        (key, self.candidate(now_ms, key, member, request, least_failures))
+                        self.candidate(now_ms, key, member, request, least_failures)
                     })
-                    .unzip();
+                    .collect();
                 let chosen = choose(&candidates, NO_DISCOUNT_MS, &mut *self.random.borrow_mut())?;
-                Some(keys[chosen].clone())
+                Some(able[chosen].0.clone())
             }
         }
     }
@@ -163,7 +182,12 @@
         let ratio = self.service_times.member_ratio(now_ms, key) / SPEED_TOLERANCE;
         let cost = |applies: bool, cost_ms: f64| if applies { cost_ms } else { 0.0 };
         let failures = member.load.failures(now_ms) - least_failures - FAILURE_TOLERANCE;
-        let extra_ms = cost(!member.has_idle(&request.tenant), NEW_CONNECTION_MS)
+        let retained = retained_limit(self.connection_limit(), member.entry.slots);
+        let connect_ms = match member.open_connections < retained {
+            true => NEW_CONNECTION_MS,
+            false => EVICTING_CONNECTION_MS,
+        };
+        let extra_ms = cost(!member.has_idle(&request.tenant), connect_ms)
             + cost(self.primary.as_ref() == Some(key), PRIMARY_MS)
             + cost(member.entry.zone != self.zone, REMOTE_MS)
             + failures.max(0.0) * FAILURE_MS;
@@ -171,7 +195,7 @@
             reported_load: 0.0,
             report_age_ms: 0,
             // A member that is idle just now but was busier before than others is no better.
-            own_load: (in_flight as f64).max(recent * slots as f64),
+            own_load: (in_flight as f64).max(queueing_load(recent) * slots as f64),
             slots: slots as f64,
             unit_ms: self.service_times.route_ms(&request.route).max(MIN_UNIT_MS) * ratio.max(1.0),
             extra_ms,
@@ -201,14 +225,10 @@
 
     fn can_accept(&self, now_ms: u64, key: &MemberKey, tenant: &Name) -> bool {
         let Some(member) = self.members.get(key) else { return false };
-        let has_connection = member.has_idle(tenant)
-            || (now_ms >= member.no_connect_until_ms
-                && (member.open_connections < self.connection_limit()
-                    || !member.idle_connections.is_empty()));
         !member.must_leave
             && member.failing_since_ms.is_none()
             && member.has_free_slot(now_ms)
-            && has_connection
+            && (member.has_idle(tenant) || member.may_connect(now_ms, self.connection_limit()))
             && self.may_grant_cold(now_ms, member)
     }
 
@@ -222,6 +242,13 @@
     }
 }
 
+/// Returns the load, as a share of the slots, by which a recent utilization counts. As in a queue, it
+/// grows faster than the utilization, so that the preferences among members matter less the busier
+/// they are.
+fn queueing_load(utilization: f64) -> f64 {
+    utilization / (1.0 - utilization.min(MAX_UTILIZATION))
+}
+
 impl<Conn> PoolMember<Conn> {
     /// Counts a statement that starts at the member.
     pub(super) fn begin_statement(&mut self, now_ms: u64) {
