Log when a member becomes an outlier, and do not count unproven replies as failures

Cause: operators could not see why a member gets few reads, and a reply that proves nothing, which busy and lagging members send often, counted as a failure of the member.

Change: one line for each change, with bounds that end it at 0.8 of those that begin it, so that it does not change with each statement. Mismatched replies are left out.

Ruled out: a line for each choice, which would be one for each statement. No test covers the log line.

--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -188,16 +188,20 @@
                 }
                 drop(pool);
                 self.service.report_lowered_slots(&self.member.key, lowered);
+                self.service.report_outlier(&self.member.key);
                 Ok(replies)
             }
             Err(error) => {
                 self.connection = None;
                 pool.connection_closed(&self.member.key);
+                // Members that are busy or behind send replies that prove nothing without failing.
+                if matches!(error, MemberError::Mismatched(_)) {
+                    return Err(error);
+                }
                 pool.record_result(now_ms(), &self.member.key, true);
                 drop(pool);
-                if !matches!(error, MemberError::Mismatched(_)) {
-                    self.service.suspect_member(&self.member.key, &error.to_string());
-                }
+                self.service.report_outlier(&self.member.key);
+                self.service.suspect_member(&self.member.key, &error.to_string());
                 Err(error)
             }
         }
--- a/core/src/service/exchange.rs
+++ b/core/src/service/exchange.rs
@@ -1,5 +1,6 @@
 //! Exchanges commands and replies with members, and reports replies that do not fit.
 
+use crate::clock::now_ms;
 use crate::member::MemberCommand;
 use crate::member::MemberError;
 use crate::member::MemberKey;
@@ -7,6 +8,7 @@
 use crate::reply_mismatch::Mismatch;
 use crate::service::OwnedService;
 use crate::service::matched_connection::MatchedConnection;
+use crate::sync::lock;
 
 impl OwnedService {
     /// Sends commands to a member and returns their replies in order.
@@ -53,6 +55,23 @@
         );
     }
 
+    /// Logs that a member became much slower than the others or fails many more statements, or that
+    /// it no longer does.
+    pub(super) fn report_outlier(&self, member: &MemberKey) {
+        let now_ms = now_ms();
+        let mut pool = lock(&self.pool);
+        let Some(is_outlier) = pool.outlier_change(now_ms, member) else { return };
+        let service_ratio = pool.service_times().member_ratio(now_ms, member);
+        let failure_share = pool.failure_share(now_ms, member);
+        drop(pool);
+        log::info!(
+            event = "member_outlier_changed", service = &*self.name, member = &*member.id,
+            is_outlier = is_outlier, service_ratio = format!("{service_ratio:.2}"),
+            failure_share = format!("{failure_share:.2}");
+            "an outlier gets few reads until its statements are like those of the others again"
+        );
+    }
+
     /// Logs and counts a reply of a member that is not that of the command that waits for one. `id` is
     /// that of the statement which noticed it.
     pub(super) fn report_mismatch(&self, member: &MemberKey, id: &str, mismatch: Mismatch) {
--- a/core/src/service/pool/pool_member.rs
+++ b/core/src/service/pool/pool_member.rs
@@ -60,6 +60,8 @@
     /// Number of connections at which the member refused another one, and the end of the time for
     /// which no more are opened.
     pub(super) refused_above: Option<(usize, u64)>,
+    /// Whether it was an outlier when that was last asked.
+    pub(super) was_outlier: bool,
     pub(super) load: MemberLoad,
     pub(super) usable_slots: UsableSlots,
 }
@@ -91,6 +93,7 @@
             cold_grants: VecDeque::new(),
             retention: ConnectionRetention::default(),
             refused_above: None,
+            was_outlier: false,
             load: MemberLoad::default(),
             usable_slots: UsableSlots::default(),
         }
--- a/core/src/service/pool/selection.rs
+++ b/core/src/service/pool/selection.rs
@@ -54,6 +54,10 @@
 const OUTLIER_RATIO: f64 = 2.5;
 const OUTLIER_FAILURES: f64 = 0.35;
 
+/// Share of these bounds below which a member is no longer an outlier, so that it does not change with
+/// each statement.
+const OUTLIER_END: f64 = 0.8;
+
 /// Shortest time between two reads at an outlier, in milliseconds: a member that fails statements
 /// faster than others run them has a free slot most of the time.
 const OUTLIER_INTERVAL_MS: u64 = 50;
@@ -92,6 +96,14 @@
         None
     }
 
+    /// Returns whether a member is an outlier now, if that has changed since the last call.
+    pub fn outlier_change(&mut self, now_ms: u64, key: &MemberKey) -> Option<bool> {
+        let is_outlier = self.is_outlier(now_ms, key, self.least_failures(now_ms));
+        let member = self.members.get_mut(key)?;
+        let was_outlier = std::mem::replace(&mut member.was_outlier, is_outlier);
+        (was_outlier != is_outlier).then_some(is_outlier)
+    }
+
     /// Records whether a statement failed at a member.
     pub fn record_result(&mut self, now_ms: u64, key: &MemberKey, has_failed: bool) {
         if let Some(member) = self.members.get_mut(key) {
@@ -218,9 +230,10 @@
 
     /// Returns whether a member is much slower than the others, or fails many more statements.
     fn is_outlier(&self, now_ms: u64, key: &MemberKey, least_failures: f64) -> bool {
-        let failures = self.members.get(key).map_or(0.0, |member| member.load.failures(now_ms));
-        failures - least_failures > OUTLIER_FAILURES
-            || self.service_times.member_ratio(now_ms, key) > OUTLIER_RATIO
+        let Some(member) = self.members.get(key) else { return false };
+        let scale = if member.was_outlier { OUTLIER_END } else { 1.0 };
+        member.load.failures(now_ms) - least_failures > OUTLIER_FAILURES * scale
+            || self.service_times.member_ratio(now_ms, key) > OUTLIER_RATIO * scale
     }
 
     fn can_accept(&self, now_ms: u64, key: &MemberKey, tenant: &Name) -> bool {
