--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -150,6 +150,13 @@
     pub position: Option<LogPosition>,
 }
 
+impl MemberReply {
+    /// Returns whether the member refused the command without executing it.
+    pub fn was_not_executed(&self) -> bool {
+        self.result.as_ref().is_err_and(|refusal| refusal.failure.was_not_executed())
+    }
+}
+
 /// Why a connection to a member failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MemberError {
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -1,10 +1,13 @@
 //! A service that this node owns: connection pool, open transactions and choice of primary.
 
 pub mod connection;
+pub mod connection_retention;
 pub mod matched_connection;
+pub mod member_load;
 pub mod pool;
 pub mod service_times;
 pub mod transaction_table;
+pub mod usable_slots;
 
 mod admission_control;
 mod borrowed;
@@ -14,11 +17,10 @@
 mod probe;
 mod promotion;
 mod runner;
+mod summary;
 mod transactions;
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::fmt::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -31,7 +33,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::admission::level_counters::LevelCounters;
 use crate::admission::refusal_log::RefusalLog;
 use crate::admission::waiting_statement::KeptPlace;
 use crate::clock::now_ms;
@@ -44,9 +45,7 @@
 use crate::member::MemberPromoter;
 use crate::member_directory::MemberDirectory;
 use crate::metrics::Metrics;
-use crate::metrics::label_value;
 use crate::name::Name;
-use crate::pressure::LevelPressure;
 use crate::pressure::ServicePressure;
 use crate::service::admission_control::AcquireError;
 use crate::service::borrowed::GrantGuard;
@@ -57,6 +56,8 @@
 use crate::service::pool::SlotRequest;
 use crate::service::pool::admission::Arrival;
 pub(crate) use crate::service::probe::SYSTEM_TENANT;
+pub use crate::service::summary::MemberSummary;
+pub use crate::service::summary::ServiceSummary;
 use crate::service::transaction_table::TransactionTable;
 use crate::succession::Leadership;
 use crate::succession::Succession;
@@ -202,7 +203,7 @@
             offered_at_ms: AtomicU64::new(0),
             is_store_unreachable: AtomicBool::new(false),
             handover_request: Mutex::default(),
-            pool: Mutex::new(Pool::new(context.zone.clone())),
+            pool: Mutex::new(Pool::with_seed(context.zone.clone(), rand::random())),
             context,
             grant_senders: Mutex::default(),
             refusal_log: Mutex::new(RefusalLog::new(now_ms())),
@@ -454,13 +455,18 @@
 
     /// Returns a snapshot for metrics and status.
     pub fn summary(&self) -> ServiceSummary {
+        let now_ms = now_ms();
         let pool = lock(&self.pool);
         let members = pool.members().iter().map(|(key, member)| MemberSummary {
             id: key.id.clone(),
             is_primary: pool.primary() == Some(key),
             is_failing: member.failing_since_ms.is_some(),
             in_flight: member.in_flight,
+            usable_slots: member.usable_slots(now_ms),
+            service_ratio: pool.service_times().member_ratio(now_ms, key),
+            failure_share: pool.failure_share(now_ms, key),
             connections: pool.connections(key).0,
+            evicted_connections: member.evicted_connections,
         });
         ServiceSummary {
             name: self.name.clone(),
@@ -470,102 +476,11 @@
             members: members.collect(),
             last_loss: lock(&self.state).last_loss.clone(),
             levels: pool.level_counters().clone(),
-            pressure: pool.pressure(now_ms()).levels,
-        }
-    }
-}
-
-/// Snapshot of a service.
-#[derive(Clone, Debug)]
-pub struct ServiceSummary {
-    /// Name of the service.
-    pub name: Name,
-    /// Whether new operations are accepted.
-    pub is_open: bool,
-    /// Number of statements that wait for a slot.
-    pub waiting: usize,
-    /// Number of open transactions.
-    pub transactions: usize,
-    /// Members of the service.
-    pub members: Vec<MemberSummary>,
-    /// Acknowledged commits lost by the last promotion under this owner that lost any.
-    pub last_loss: Option<CommitLoss>,
-    /// Counters of each level.
-    pub levels: BTreeMap<u32, LevelCounters>,
-    /// Expected wait of each level at which statements wait.
-    pub pressure: Vec<LevelPressure>,
-}
-
-impl ServiceSummary {
-    /// Describes each problem of the service: a missing primary, members that do not answer.
-    pub fn problems(&self) -> Vec<String> {
-        let service = self.name.escape_debug();
-        let mut problems = Vec::new();
-        if !self.members.iter().any(|member| member.is_primary) {
-            problems.push(format!("service {service} has no primary"));
-        }
-        let failing = self.members.iter().filter(|member| member.is_failing);
-        problems.extend(failing.map(|member| {
-            format!("member {} of {service} does not answer", member.id.escape_debug())
-        }));
-        problems
-    }
-
-    /// Describes the last promotion that lost acknowledged commits, if there was one.
-    pub fn loss_report(&self) -> Option<String> {
-        let loss = self.last_loss.as_ref()?;
-        Some(format!(
-            "service {}: the promotion of {} lost up to {} acknowledged commits ({} acknowledged, {} held)",
-            self.name.escape_debug(),
-            loss.member.escape_debug(),
-            loss.max_commits(),
-            loss.acknowledged,
-            loss.held
-        ))
-    }
-
-    /// Appends the metrics in text format, one per line.
-    pub fn render_metrics(&self, text: &mut String) {
-        let service = label_value(&self.name);
-        let open = u8::from(self.is_open);
-        let _ = writeln!(text, "service_open{{service=\"{service}\"}} {open}");
-        let _ = writeln!(text, "service_waiting{{service=\"{service}\"}} {}", self.waiting);
-        let transactions = self.transactions;
-        let _ = writeln!(text, "service_transactions{{service=\"{service}\"}} {transactions}");
-        for (level, counters) in &self.levels {
-            counters.render_metrics(text, &service, *level);
-        }
-        for LevelPressure { level, expected_wait_ms } in &self.pressure {
-            let labels = format!("service=\"{service}\",level=\"{level}\"");
-            let _ = writeln!(text, "admission_expected_wait_ms{{{labels}}} {expected_wait_ms}");
-        }
-        for member in &self.members {
-            let labels = format!("service=\"{service}\",member=\"{}\"", label_value(&member.id));
-            let is_primary = u8::from(member.is_primary);
-            let _ = writeln!(text, "member_is_primary{{{labels}}} {is_primary}");
-            let is_failing = u8::from(member.is_failing);
-            let _ = writeln!(text, "member_is_failing{{{labels}}} {is_failing}");
-            let _ = writeln!(text, "member_slots_in_use{{{labels}}} {}", member.in_flight);
-            let _ = writeln!(text, "member_connections{{{labels}}} {}", member.connections);
+            pressure: pool.pressure(now_ms).levels,
         }
     }
 }
 
-/// Snapshot of a member.
-#[derive(Clone, Debug)]
-pub struct MemberSummary {
-    /// Name of the member.
-    pub id: Name,
-    /// Whether the owner uses it as primary.
-    pub is_primary: bool,
-    /// Whether it is suspected of having failed and has not answered a probe since.
-    pub is_failing: bool,
-    /// Number of running statements.
-    pub in_flight: usize,
-    /// Number of open connections.
-    pub connections: usize,
-}
-
 /// Removes a waiting statement from the queue when its caller stops waiting.
 struct TicketGuard<'a> {
     service: &'a OwnedService,
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -40,6 +40,27 @@
     }
 }
 
+/// A slot of a member that a probe of this node occupies, released when dropped.
+pub(super) struct ProbeSlot {
+    service: Arc<OwnedService>,
+    member: MemberKey,
+}
+
+impl ProbeSlot {
+    /// Counts a probe of a member.
+    pub(super) fn new(service: Arc<OwnedService>, member: MemberKey) -> Self {
+        lock(&service.pool).begin_probe(&member);
+        Self { service, member }
+    }
+}
+
+impl Drop for ProbeSlot {
+    fn drop(&mut self) {
+        lock(&self.service.pool).end_probe(&self.member);
+        self.service.dispatch();
+    }
+}
+
 /// A grant whose connection is returned to the pool, or no longer counted, when it is dropped
 /// before the connection is borrowed.
 pub(super) struct GrantGuard {
@@ -64,7 +85,12 @@
         let grant = self.grant.take()?;
         let connection = Some(connection);
         let service = self.service.clone();
-        let Grant { member, route, down, .. } = grant;
+        let Grant { member, route, down, is_opening, .. } = grant;
+        if is_opening {
+            lock(&service.pool).end_opening(&member.key);
+            // Another connection may be opened now.
+            service.dispatch();
+        }
         let is_counted = false;
         Some(BorrowedConnection { service, member, route, is_counted, connection, down })
     }
@@ -75,6 +101,9 @@
         let Some(grant) = self.grant.take() else { return };
         let key = &grant.member.key;
         let mut pool = lock(&self.service.pool);
+        if grant.is_opening {
+            pool.end_opening(key);
+        }
         match grant.connection {
             Some(connection) => drop(pool.return_connection(key, connection)),
             None if grant.is_counted => pool.connection_closed(key),
@@ -160,26 +189,35 @@
         match replied {
             Ok(replies) => {
                 if let Some(mut metered) = metered
-                    && replies.last().is_some_and(was_not_executed)
+                    && replies.last().is_some_and(MemberReply::was_not_executed)
                 {
                     metered.discard();
                     self.is_counted = false;
                 }
                 let position = replies.iter().rev().find_map(|reply| reply.position);
                 pool.record_reply(now_ms(), &self.member.key, position);
-                if !replies.iter().any(was_not_executed) {
+                let lowered = pool.record_results(now_ms(), &self.member.key, &replies);
+                // Statements that fail may end much sooner than others.
+                if replies.iter().all(|reply| reply.result.is_ok()) {
                     let took_us = now_us().saturating_sub(sent_at_us);
                     pool.record_service_time(now_ms(), &self.member.key, &self.route, took_us);
                 }
+                drop(pool);
+                self.service.report_lowered_slots(&self.member.key, lowered);
+                self.service.report_outlier(&self.member.key);
                 Ok(replies)
             }
             Err(error) => {
                 self.connection = None;
                 pool.connection_closed(&self.member.key);
-                drop(pool);
-                if !matches!(error, MemberError::Mismatched(_)) {
-                    self.service.suspect_member(&self.member.key, &error.to_string());
+                // Members that are busy or behind send replies that prove nothing without failing.
+                if matches!(error, MemberError::Mismatched(_)) {
+                    return Err(error);
                 }
+                pool.record_result(now_ms(), &self.member.key, true);
+                drop(pool);
+                self.service.report_outlier(&self.member.key);
+                self.service.suspect_member(&self.member.key, &error.to_string());
                 Err(error)
             }
         }
@@ -205,16 +243,19 @@
     pub(super) fn return_to_pool(mut self) {
         if let Some(connection) = self.connection.take_if(|kept| kept.inner.is_reusable()) {
             let surplus = lock(&self.service.pool).return_connection(&self.member.key, connection);
+            if let Some(closed) = &surplus {
+                log::debug!(
+                    event = "connection_not_kept", service = &*self.service.name,
+                    member = &*self.member.key.id, tenant = &**closed.tenant();
+                    "the least demanded idle connection, or one to a member that leaves, is closed"
+                );
+            }
             drop(surplus);
             self.service.dispatch();
         }
     }
 }
 
-fn was_not_executed(reply: &MemberReply) -> bool {
-    reply.result.as_ref().is_err_and(|refusal| refusal.failure.was_not_executed())
-}
-
 impl Drop for BorrowedConnection {
     fn drop(&mut self) {
         if self.connection.take().is_some() {
--- a/core/src/service/pool/admission.rs
+++ b/core/src/service/pool/admission.rs
@@ -161,7 +161,7 @@
         let mut grants = Vec::new();
         let mut surplus = Vec::new();
         let mut unplaceable = Unplaceable::default();
-        while !self.waiting.is_empty() && self.has_free_slot() {
+        while !self.waiting.is_empty() && self.has_free_slot(now_ms) {
             let placed = self.queue.order(now_ms).into_iter().find_map(|ticket| {
                 let request = self.waiting.get(&ticket).filter(|it| !unplaceable.includes(it))?;
                 let member = self.select_member(now_ms, request);
@@ -199,7 +199,7 @@
         let mut text = String::new();
         for (key, member) in &self.members {
             let separator = if text.is_empty() { "" } else { "," };
-            let (used, slots) = (member.in_flight, member.entry.slots);
+            let (used, slots) = (member.in_flight, member.usable_slots(now_ms));
             let ratio = self.service_times.member_ratio(now_ms, key);
             let state = if is_usable(member) { "" } else { "-out" };
             let _ = write!(text, "{separator}{}={used}/{slots}x{ratio:.1}{state}", key.id);
@@ -207,8 +207,8 @@
         text
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.members.values().any(|member| member.in_flight < member.entry.slots)
+    fn has_free_slot(&self, now_ms: u64) -> bool {
+        self.members.values().any(|member| member.has_free_slot(now_ms))
     }
 
     fn waiting_statement(&self, request: &SlotRequest, arrival: Arrival) -> WaitingStatement {
@@ -241,7 +241,7 @@
         let mut capacity = Capacity { primary: 0.0, others: 0.0 };
         for (key, member) in self.members.iter().filter(|(_, member)| is_usable(member)) {
             let mut speed =
-                member.entry.slots as f64 / self.service_times.member_ratio(now_ms, key);
+                member.usable_slots(now_ms) as f64 / self.service_times.member_ratio(now_ms, key);
             if self.cold_per_s > 0.0 && now_ms < member.cold_until_ms {
                 speed = speed.min(self.cold_per_s * self.service_times.mean_ms() / 1_000.0);
             }
