Bound the effect of a stuck first statement on measured service times

Cause: the first sample of a route counted in full. After one of 2 s, as after a failover, 60 statements of 3 ms at two members left the route at 277 ms, so that nearly everything behind another statement was refused.

Change: the first 8 samples bound the average to ten times each of them (`SampleAverage`). Later samples are bounded from above only.

Ruled out: a bound by each sample for good: statements that fail at once would make an expensive route look cheap.

--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -14,6 +14,7 @@
 mod probe;
 mod promotion;
 mod runner;
+mod sample_average;
 mod transactions;
 
 use std::collections::BTreeMap;
--- a/core/src/service/service_times.rs
+++ b/core/src/service/service_times.rs
@@ -10,13 +10,11 @@
 
 use crate::member::MemberKey;
 use crate::name::Name;
+use crate::service::sample_average::SampleAverage;
 
 /// Expected time of a statement of a service without any samples, in milliseconds.
 pub const DEFAULT_SERVICE_MS: f64 = 10.0;
 
-/// Weight of a sample in the average of a route: about the last 30 samples count.
-const ROUTE_WEIGHT: f64 = 1.0 / 30.0;
-
 /// Weight of a sample in the average of a member: a member that becomes several times slower shows
 /// within about 8 statements.
 const MEMBER_WEIGHT: f64 = 1.0 / 8.0;
@@ -41,46 +39,48 @@
 /// Service times of one service, by route and by member.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceTimes {
-    routes: BTreeMap<Name, f64>,
+    routes: BTreeMap<Name, SampleAverage>,
     members: HashMap<MemberKey, MemberRatio>,
-    overall_ms: Option<f64>,
+    overall: Option<SampleAverage>,
 }
 
 impl ServiceTimes {
     /// Records the time that a member took for a statement of a route, in milliseconds.
     pub fn record(&mut self, now_ms: u64, member: &MemberKey, route: &Name, took_ms: f64) {
         let took_ms = took_ms.max(MIN_SAMPLE_MS);
-        let expected_ms = *self.routes.entry(route.clone()).or_insert(took_ms);
+        let average = self.routes.entry(route.clone()).or_default();
+        average.prepare(took_ms);
+        let expected_ms = average.mean_ms();
         let ratio = (took_ms / expected_ms).clamp(MIN_RATIO, MAX_RATIO);
         // A stuck statement must not raise the averages by more than a slow member would.
-        let took_ms = expected_ms * ratio;
+        let took_ms = took_ms.min(expected_ms * MAX_RATIO);
         let before = self.member_ratio(now_ms, member);
         let averaged = before + (ratio - before) * MEMBER_WEIGHT;
         self.members.insert(member.clone(), MemberRatio { ratio: averaged, updated_at_ms: now_ms });
         // The route's average is that of a member of average speed.
         let adjusted_ms = took_ms / averaged.max(MIN_RATIO);
-        if let Some(average_ms) = self.routes.get_mut(route) {
-            *average_ms += (adjusted_ms - *average_ms) * ROUTE_WEIGHT;
+        if let Some(average) = self.routes.get_mut(route) {
+            average.add(adjusted_ms);
         }
-        let overall_ms = self.overall_ms.get_or_insert(took_ms);
-        *overall_ms += (took_ms - *overall_ms) * ROUTE_WEIGHT;
+        let overall = self.overall.get_or_insert_default();
+        overall.prepare(took_ms);
+        overall.add(took_ms);
     }
 
     /// Returns whether there are any samples.
     pub fn has_samples(&self) -> bool {
-        self.overall_ms.is_some()
+        self.overall.is_some()
     }
 
     /// Returns the average over all statements, in milliseconds.
     pub fn mean_ms(&self) -> f64 {
-        self.overall_ms.unwrap_or(DEFAULT_SERVICE_MS)
+        self.overall.map_or(DEFAULT_SERVICE_MS, |average| average.mean_ms())
     }
 
     /// Returns the time that a statement of a route takes at a member of average speed, in
     /// milliseconds.
     pub fn route_ms(&self, route: &str) -> f64 {
-        let known = self.routes.get(route).copied().or(self.overall_ms);
-        known.unwrap_or(DEFAULT_SERVICE_MS)
+        self.routes.get(route).map_or_else(|| self.mean_ms(), SampleAverage::mean_ms)
     }
 
     /// Returns the times of a member divided by those of an average one; 1 for an unknown member.
--- a/core/tests/core/service_times.rs
+++ b/core/tests/core/service_times.rs
@@ -60,3 +60,28 @@
     assert!(route_ms < 6.0, "{route_ms}");
     assert!(mean_ms < 60.0, "{mean_ms}");
 }
+
+/// Guards against a first statement that was stuck, as after a failover: the route would count as
+/// hundreds of times more expensive for its next hundred statements.
+#[test]
+fn a_stuck_first_statement_counts_for_little() {
+    let mut times = ServiceTimes::default();
+    times.record(0, &member("a"), &"short".into(), 2_000.0);
+    for round in 0..30 {
+        times.record(round, &member("a"), &"short".into(), 3.0);
+        times.record(round, &member("b"), &"short".into(), 3.0);
+    }
+    let (route_ms, mean_ms) = (times.route_ms("short"), times.mean_ms());
+    assert!(route_ms < 30.0 && mean_ms < 30.0, "{route_ms} {mean_ms}");
+}
+
+/// Guards against an average that stays high after a route has become much cheaper.
+#[test]
+fn a_route_that_becomes_cheaper_shows_within_its_next_statements() {
+    let mut times = measured();
+    for round in 200..400 {
+        times.record(round, &member("reads"), &"long".into(), 0.3);
+        times.record(round, &member("writes"), &"long".into(), 0.3);
+    }
+    assert!(times.route_ms("long") < 3.0, "{}", times.route_ms("long"));
+}
