--- a/core/src/service/pool/selection.rs
+++ b/core/src/service/pool/selection.rs
@@ -2,6 +2,7 @@
 
 use crate::load_balance::Candidate;
 use crate::load_balance::choose;
+use crate::log_position::LogPosition;
 use crate::member::MemberKey;
 use crate::member::MemberReply;
 use crate::name::Name;
@@ -154,10 +155,8 @@
                     .members
                     .iter()
                     .filter(|(key, member)| {
-                        let is_primary = self.primary.as_ref() == Some(key);
                         (excluded.as_ref() != Some(key) || self.members.len() == 1)
-                            && (is_primary || member.may_include(now_ms, *floor))
-                            && (!is_primary || !self.is_primary_paused)
+                            && self.may_serve(now_ms, key, member, *floor)
                             && self.can_accept(now_ms, key, &request.tenant)
                     })
                     .collect();
@@ -165,8 +164,16 @@
                     return None;
                 }
                 let least_failures = self.least_failures(now_ms);
+                // Without another member for the read it must not wait for the next try.
+                let has_alternative = self.members.iter().any(|(key, member)| {
+                    excluded.as_ref() != Some(key)
+                        && self.may_serve(now_ms, key, member, *floor)
+                        && !self.is_outlier(now_ms, key, least_failures)
+                });
                 able.retain(|(key, member)| {
-                    self.may_try(now_ms, member) || !self.is_outlier(now_ms, key, least_failures)
+                    !has_alternative
+                        || self.may_try(now_ms, member)
+                        || !self.is_outlier(now_ms, key, least_failures)
                 });
                 let candidates: Vec<Candidate> = able
                     .iter()
@@ -236,6 +243,21 @@
             || self.service_times.member_ratio(now_ms, key) > OUTLIER_RATIO * scale
     }
 
+    /// Returns whether a member may serve a read with this floor once it has a free slot.
+    fn may_serve(
+        &self,
+        now_ms: u64,
+        key: &MemberKey,
+        member: &PoolMember<Conn>,
+        floor: LogPosition,
+    ) -> bool {
+        let is_primary = self.primary.as_ref() == Some(key);
+        !member.must_leave
+            && member.failing_since_ms.is_none()
+            && (is_primary || member.may_include(now_ms, floor))
+            && (!is_primary || !self.is_primary_paused)
+    }
+
     fn can_accept(&self, now_ms: u64, key: &MemberKey, tenant: &Name) -> bool {
         let Some(member) = self.members.get(key) else { return false };
         !member.must_leave
