Limit the bytes, connections and time that clients take

Change: core/src/limits derives shares from the memory and descriptors of the host (new settings memory_mb, max_descriptors) and decides; callers' lines, members' replies and messages between nodes reserve before they are read beyond 8 KiB, answers are charged until they are written, sessions' values and shapes have an account, connections have a table that decides which one is closed, transfers have a pace. The accept loops pause after an error, HTTP heads and bodies are bounded, buffers that a large message made grow are given back. Ruled out: a semaphore for each listener (what is held already must be charged without waiting); waiting for memory in small steps (lines that each hold a part would keep each other from ending); skipping the rows of a reply that does not fit (its signature would be lost to the matching of replies).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod failover;
 mod lease_records;
 pub mod lease_table;
+pub mod limits;
 pub mod log_line;
 pub mod log_position;
 pub mod member;
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -161,6 +161,8 @@
     Refused(Refusal),
     /// The member sent data that cannot be decoded.
     Protocol(String),
+    /// The reply is larger than permitted, or there is no memory for it. The rest was not read.
+    TooLarge(&'static str),
     /// The member sent a reply that cannot be shown to be that of the command that waits for one.
     Mismatched(Mismatch),
 }
@@ -174,6 +176,7 @@
                 write!(formatter, "refused: {} {}", refusal.failure.label(), refusal.detail)
             }
             Self::Protocol(reason) => write!(formatter, "unreadable answer: {reason}"),
+            Self::TooLarge(reason) => write!(formatter, "reply not read: {reason}"),
             Self::Mismatched(mismatch) => {
                 write!(formatter, "reply without proof: {}", mismatch.label())
             }
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -21,6 +21,7 @@
 use crate::lease_table::Identity;
 use crate::lease_table::LEASE_MS;
 use crate::lease_table::LeaseTable;
+use crate::limits::ClientLimits;
 use crate::member::MemberConnector;
 use crate::member::MemberPromoter;
 use crate::member_directory::MemberDirectory;
@@ -93,6 +94,8 @@
     pub connector: Arc<dyn MemberConnector>,
     /// Orders promotions of members.
     pub promoter: Arc<dyn MemberPromoter>,
+    /// Limits on clients, and what counts against them.
+    pub limits: Arc<ClientLimits>,
 }
 
 /// The process on an entry host, with everything that its tasks share.
@@ -103,6 +106,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) owner_directory: OwnerDirectory,
     pub(crate) peers: PeerPool,
+    pub(crate) limits: Arc<ClientLimits>,
     pub(crate) lease_table: Mutex<LeaseTable>,
     pub(crate) services: Mutex<HashMap<Name, Arc<OwnedService>>>,
     pub(crate) members: Arc<MemberDirectory>,
@@ -131,6 +135,7 @@
             capacity: settings.capacity,
         };
         let nodes = Arc::new(Mutex::new(NodeDirectory::new(record)));
+        let limits = dependencies.limits.clone();
         Arc::new(Self {
             lease_table: Mutex::new(LeaseTable::new(settings.identity.clone())),
             settings,
@@ -138,7 +143,8 @@
             configuration: Arc::default(),
             metrics: Arc::default(),
             owner_directory: OwnerDirectory::default(),
-            peers: PeerPool::new(nodes.clone()),
+            peers: PeerPool::new(nodes.clone(), limits.clone()),
+            limits,
             services: Mutex::default(),
             members: Arc::default(),
             token_cache: Mutex::default(),
@@ -162,6 +168,11 @@
         &self.metrics
     }
 
+    /// Returns the limits on clients.
+    pub fn limits(&self) -> &Arc<ClientLimits> {
+        &self.limits
+    }
+
     /// Returns the identity of this process.
     pub fn incarnation(&self) -> u64 {
         self.settings.identity.incarnation
@@ -171,6 +182,7 @@
     pub fn render_metrics(&self) -> String {
         let mut text = String::new();
         self.metrics.render(&mut text);
+        self.limits.render_metrics(&mut text);
         let known = self.configuration.known();
         let version = known.map_or(0, |known| known.configuration.version);
         let _ = writeln!(text, "configuration_version {version}");
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -3,6 +3,8 @@
 
 mod client;
 pub mod format;
+mod frame_codec;
+mod gated_stream;
 mod server;
 
 use std::net::SocketAddr;
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -12,13 +12,13 @@
 use socket2::TcpKeepalive;
 use tarpc::client::RpcError;
 use tarpc::context;
-use tarpc::serde_transport;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tarpc::tokio_serde;
 use tarpc::trace;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::now_ms;
+use crate::limits::ClientLimits;
 use crate::metadata_server::METADATA_HOLD_MS;
 use crate::name::Name;
 use crate::node_directory::NodeDirectory;
@@ -30,8 +30,9 @@
 use crate::relay::MetadataUpdate;
 use crate::relay::PeerReport;
 use crate::relay::RelayClient;
-use crate::relay::format::MAX_MESSAGE_BYTES;
 use crate::relay::format::RelayFormat;
+use crate::relay::frame_codec::FrameCodec;
+use crate::relay::gated_stream::GatedStream;
 use crate::sync::lock;
 use crate::tenant_rates::TokenGrant;
 
@@ -85,11 +86,6 @@
     }
 }
 
-/// Returns the frame codec of the protocol between nodes.
-pub(crate) fn frame_codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec()
-}
-
 /// Sets the socket options that close a connection whose peer no longer responds.
 ///
 /// # Errors
@@ -121,12 +117,13 @@
 pub struct PeerPool {
     connections: Mutex<HashMap<SocketAddr, PeerConnection>>,
     nodes: Arc<Mutex<NodeDirectory>>,
+    limits: Arc<ClientLimits>,
 }
 
 impl PeerPool {
     /// Creates a pool without connections. `nodes` tells which nodes are in the same data centre.
-    pub fn new(nodes: Arc<Mutex<NodeDirectory>>) -> Self {
-        Self { connections: Mutex::default(), nodes }
+    pub fn new(nodes: Arc<Mutex<NodeDirectory>>, limits: Arc<ClientLimits>) -> Self {
+        Self { connections: Mutex::default(), nodes, limits }
     }
 
     /// Returns the client for a node, and connects first if there is no connection.
@@ -163,9 +160,10 @@
             }
         };
         detect_dead_peer(&stream).map_err(|error| RelayError::NotSent(error.to_string()))?;
-        let framed = tarpc::tokio_util::codec::Framed::new(stream, frame_codec());
+        let stream = GatedStream::new(stream, self.limits.clone(), self.limits.replies.clone());
+        let framed = tarpc::tokio_util::codec::Framed::new(stream, FrameCodec::new());
         let is_remote = lock(&self.nodes).is_in_other_zone(address);
-        let transport = serde_transport::new(framed, RelayFormat::new(is_remote));
+        let transport = tokio_serde::Framed::new(framed, RelayFormat::new(is_remote));
         let client = RelayClient::new(tarpc::client::Config::default(), transport).spawn();
         let mut connections = lock(&self.connections);
         let connection = connections.entry(address).or_default();
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -4,19 +4,34 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use futures::StreamExt;
+use futures::future::ready;
 use tarpc::context::Context;
-use tarpc::serde_transport;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
+use tarpc::server::Config;
+use tarpc::server::InFlightRequest;
+use tarpc::tokio_serde;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::limits::byte_budget::Reservation;
+use crate::limits::call_bytes::answer_bytes;
+use crate::limits::call_bytes::call_bytes;
+use crate::limits::call_bytes::may_refuse;
+use crate::limits::connection_table::Phase;
+use crate::limits::live_connections::LiveConnection;
+use crate::limits::report::Applied;
 use crate::name::Name;
 use crate::node::Node;
+use crate::outcome::Failure;
+use crate::outcome::Refusal;
 use crate::owner_directory::Owner;
 use crate::relay::Call;
 use crate::relay::CallReply;
@@ -25,23 +40,40 @@
 use crate::relay::MetadataUpdate;
 use crate::relay::PeerReport;
 use crate::relay::Relay;
+use crate::relay::RelayRequest;
+use crate::relay::RelayResponse;
 use crate::relay::client::detect_dead_peer;
-use crate::relay::client::frame_codec;
 use crate::relay::format::RelayFormat;
+use crate::relay::frame_codec::FrameCodec;
+use crate::relay::gated_stream::GatedStream;
 use crate::sync::lock;
 use crate::tenant_rates::TokenGrant;
 use crate::transaction_id::TransactionId;
 
+/// Replies of a connection that wait to be written. Further ones wait where they are counted.
+const PENDING_REPLIES: usize = 8;
+
+/// Pause after a connection could not be accepted, and between two attempts to find room for one.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Serves one connection of another node. Transactions that were opened over the connection are
 /// aborted when it ends.
 #[derive(Clone)]
 struct PeerServer {
     node: Arc<Node>,
     transactions: Arc<Mutex<HashSet<(Name, TransactionId)>>>,
+    /// What the reply of a call holds until it has been handed over to be written.
+    reply: Arc<Mutex<Option<Reservation>>>,
 }
 
 impl Relay for PeerServer {
     async fn run(self, _: Context, call: Call) -> CallReply {
+        let limits = &self.node.limits;
+        if may_refuse(&call) && limits.relay.used_bytes() > 2 * limits.relay.limit_bytes() {
+            limits.report.record(Applied::RelayCalls);
+            let detail = "the owner of the service holds too many calls; retry after 200 ms";
+            return CallReply::Refused(Refusal::new(Failure::Busy, detail));
+        }
         let service = call.service.clone();
         let previous = call.transaction;
         let reply = self.node.run_owned(call).await;
@@ -52,6 +84,9 @@
         if let CallReply::Done { transaction: Some(transaction), .. } = &reply {
             transactions.insert((service, *transaction));
         }
+        if let CallReply::Done { answer, .. } = &reply {
+            *lock(&self.reply) = Some(limits.replies.charge(answer_bytes(answer)));
+        }
         reply
     }
 
@@ -94,13 +129,15 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tracker.spawn(serve_peer(node.clone(), stream, stop.clone()));
+                let Some(live) = admit(&node, &stop).await else { break };
+                tracker.spawn(serve_peer(node.clone(), stream, live, stop.clone()));
             }
             Err(error) => {
                 log::warn!(
                     event = "peer_accept_failed", error = error.to_string();
                     "a connection from another node could not be accepted"
                 );
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
@@ -108,7 +145,41 @@
     tracker.wait().await;
 }
 
-async fn serve_peer(node: Arc<Node>, stream: TcpStream, stop: CancellationToken) {
+/// Waits until there is room for a connection. Returns `None` when the node stops.
+async fn admit(node: &Arc<Node>, stop: &CancellationToken) -> Option<LiveConnection> {
+    loop {
+        if let Some((live, closed_other)) = node.limits.peers.admit() {
+            if closed_other {
+                node.limits.report.record(Applied::ClosedForOther);
+            }
+            return Some(live);
+        }
+        node.limits.report.record(Applied::AcceptWait);
+        tokio::select! {
+            () = stop.cancelled() => return None,
+            () = tokio::time::sleep(ACCEPT_PAUSE) => {}
+        }
+    }
+}
+
+/// Runs a request of another node. What it holds is counted until its reply is to be written.
+async fn serve_request(
+    mut server: PeerServer,
+    request: InFlightRequest<RelayRequest, RelayResponse>,
+    held: Option<Reservation>,
+) {
+    let reply = Arc::new(Mutex::new(None));
+    server.reply = reply.clone();
+    request.execute(server.serve()).await;
+    drop(held);
+}
+
+async fn serve_peer(
+    node: Arc<Node>,
+    stream: TcpStream,
+    live: LiveConnection,
+    stop: CancellationToken,
+) {
     if let Err(error) = detect_dead_peer(&stream) {
         log::warn!(
             event = "peer_socket_failed", error = error.to_string();
@@ -116,18 +187,46 @@
         );
         return;
     }
-    let framed = tarpc::tokio_util::codec::Framed::new(stream, frame_codec());
-    let transport = serde_transport::new(framed, RelayFormat::new(false));
-    let server = PeerServer { node: node.clone(), transactions: Arc::default() };
+    let limits = node.limits.clone();
+    let stream = GatedStream::new(stream, limits.clone(), limits.relay.clone());
+    let framed = tarpc::tokio_util::codec::Framed::new(stream, FrameCodec::new());
+    let transport = tokio_serde::Framed::new(framed, RelayFormat::new(false));
+    let server =
+        PeerServer { node: node.clone(), transactions: Arc::default(), reply: Arc::default() };
     let tracker = TaskTracker::new();
-    let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
-    let serving = requests.for_each(|request| {
-        tracker.spawn(request);
-        async {}
+    let config = Config { pending_response_buffer: PENDING_REPLIES };
+    let requests = BaseChannel::new(config, transport).requests();
+    let valid = requests.take_while(|request| ready(request.is_ok()));
+    let has_begun = AtomicBool::new(false);
+    let serving = valid.for_each(|request| {
+        has_begun.store(true, Ordering::Relaxed);
+        live.set_phase(Phase::Working);
+        if let Ok(request) = request {
+            let held = match &request.get().message {
+                RelayRequest::Run { call } => Some(limits.relay.charge(call_bytes(call))),
+                _ => None,
+            };
+            tracker.spawn(serve_request(server.clone(), request, held));
+        }
+        // A call that is refused gives its memory back before the next one is decoded.
+        let is_short = limits.relay.is_short();
+        async move {
+            if is_short {
+                tokio::task::yield_now().await;
+            }
+        }
     });
+    let silent = async {
+        tokio::time::sleep(Duration::from_millis(limits.host.startup_ms)).await;
+        if has_begun.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    };
     tokio::select! {
         () = serving => {}
         () = stop.cancelled() => {}
+        () = live.closed().cancelled() => {}
+        () = silent => limits.report.record(Applied::StartupTime),
     }
     tracker.close();
     let transactions: Vec<(Name, TransactionId)> = lock(&server.transactions).drain().collect();
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -160,7 +160,7 @@
                 self.connection = None;
                 pool.connection_closed(&self.member.key);
                 drop(pool);
-                if !matches!(error, MemberError::Mismatched(_)) {
+                if !matches!(error, MemberError::Mismatched(_) | MemberError::TooLarge(_)) {
                     self.service.suspect_member(&self.member.key, &error.to_string());
                 }
                 Err(error)
@@ -186,7 +186,7 @@
 
     /// Returns the connection to the pool, or closes it if it may not be used again.
     pub(super) fn return_to_pool(mut self) {
-        if let Some(connection) = self.connection.take_if(|kept| kept.inner.is_reusable()) {
+        if let Some(connection) = self.connection.take_if(|kept| kept.is_reusable()) {
             let surplus = lock(&self.service.pool).return_connection(&self.member.key, connection);
             drop(surplus);
             self.service.dispatch();
--- a/core/src/service/connection.rs
+++ b/core/src/service/connection.rs
@@ -18,6 +18,10 @@
 /// an open transaction. The reset drops them.
 const MAX_PREPARED: usize = 64;
 
+/// Bytes of values and prepared statements up to which a connection is kept for other sessions: 64
+/// shapes of 2 KB, twice the size of usual ones. Up to 243 connections may keep that much.
+const MAX_KEPT_BYTES: usize = 128 << 10;
+
 /// Properties of a connection that the pool depends on.
 pub trait Connection {
     /// Returns the tenant that the connection was opened for.
@@ -47,6 +51,13 @@
         }
     }
 
+    /// Returns whether the connection may be kept for other sessions.
+    pub fn is_reusable(&self) -> bool {
+        let values = self.values.iter().map(|(name, value)| name.len() + value.len());
+        let shapes = self.prepared.keys().map(|shape| shape.shape.len());
+        self.inner.is_reusable() && values.chain(shapes).sum::<usize>() <= MAX_KEPT_BYTES
+    }
+
     /// Returns the commands that set a session's values on the connection and prepare the shape of
     /// `statement`, if it has one. `may_reset` must be false in an open transaction, because a reset
     /// drops earlier values and prepared statements.
--- a/core/src/service/runner.rs
+++ b/core/src/service/runner.rs
@@ -343,6 +343,9 @@
         drop(slot);
         let reply = match last_reply(exchanged, &commands) {
             Ok(reply) => reply,
+            Err(MemberError::TooLarge(reason)) if is_read => {
+                return AttemptOutcome::Final(refusal_reply(Failure::TooLarge, reason));
+            }
             Err(error) if is_read => {
                 let refusal = Refusal::new(
                     Failure::Aborted,
--- a/core/src/session.rs
+++ b/core/src/session.rs
@@ -1,9 +1,8 @@
 //! Sessions of callers at their entry node.
 
+mod kept_state;
 mod transaction_block;
 
-use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,19 +24,16 @@
 use crate::relay::CallReply;
 use crate::relay::ReadRequirement;
 use crate::relay::RelayError;
+use crate::session::kept_state::KeptState;
 use crate::session::transaction_block::RemoteTransaction;
 use crate::session::transaction_block::TransactionBlock;
 use crate::session_positions::SessionPositions;
 use crate::statement::Access;
 use crate::statement::DataStatement;
-use crate::statement::PreparedShape;
 use crate::statement::Statement;
 use crate::statement::StatementBody;
 use crate::statement::StatementKind;
 
-/// Most values, and most prepared statements, of one session. This bounds its memory.
-const MAX_SESSION_NAMES: usize = 1_000;
-
 /// Share of a statement's timeout for which it may wait before it is sent to a member, in percent.
 /// The caller can use the rest to try another entry host.
 const MAX_QUEUE_PERCENT: u64 = 45;
@@ -51,8 +47,7 @@
     node: Arc<Node>,
     database: Name,
     credential: Name,
-    values: BTreeMap<Name, Name>,
-    prepared: HashMap<Name, PreparedShape>,
+    kept: KeptState,
     own_writes: SessionPositions,
     block: TransactionBlock,
 }
@@ -73,19 +68,31 @@
     ///
     /// Returns why the caller is not authorized.
     pub fn open(node: Arc<Node>, database: Name, credential: Name) -> Result<Self, Refusal> {
-        let session = Self {
+        let kept = KeptState::new(node.limits.clone(), ANONYMOUS_TENANT.into());
+        let mut session = Self {
             node,
             database,
             credential,
-            values: BTreeMap::new(),
-            prepared: HashMap::new(),
+            kept,
             own_writes: SessionPositions::default(),
             block: TransactionBlock::Idle,
         };
-        session.authorize()?;
+        let tenant = session.authorize()?.tenant;
+        session.kept = KeptState::new(session.node.limits.clone(), tenant);
         Ok(session)
     }
 
+    /// Returns the tenant for whom the session was opened.
+    pub fn tenant(&self) -> &Name {
+        self.kept.tenant()
+    }
+
+    /// Returns the bytes that a statement's call carries beside the statement's own text: the session
+    /// values and a prepared shape.
+    pub fn carried_bytes(&self, statement: &Statement) -> usize {
+        self.kept.carried_bytes(statement)
+    }
+
     fn authorize(&self) -> Result<Authorization, Refusal> {
         let configuration = self.node.fresh_configuration()?.configuration;
         let Some(route) = configuration.routes.get(&self.database).cloned() else {
@@ -168,6 +175,18 @@
         refusal
     }
 
+    /// Refuses a statement for which there is no memory, which fails the open transaction.
+    pub fn refuse_busy(&mut self, id: &str) -> Refusal {
+        let detail = "no memory for the statement; retry after 200 ms";
+        let refusal = match self.check_block() {
+            Ok(()) => Refusal::new(Failure::Busy, detail),
+            Err(refusal) => refusal,
+        };
+        self.fail_block();
+        self.record_failure(id, &refusal, now_ms());
+        refusal
+    }
+
     fn record_failure(&self, id: &str, refusal: &Refusal, started_at_ms: u64) {
         let configuration = self.node.configuration.known();
         let tenant = configuration.as_ref().and_then(|known| {
@@ -195,19 +214,17 @@
         }
         match &statement.kind {
             StatementKind::Set { name, value } => {
-                self.check_name_limit(self.values.len())?;
-                self.values.insert(name.clone(), value.clone());
+                self.kept.set(name, value)?;
                 Ok(Answer::local())
             }
             StatementKind::Prepare { name, shape } => {
-                self.check_name_limit(self.prepared.len())?;
-                self.prepared.insert(name.clone(), shape.clone());
+                self.kept.prepare(name, shape)?;
+                Ok(Answer::local())
+            }
+            StatementKind::Deallocate { name } => {
+                self.kept.deallocate(name)?;
                 Ok(Answer::local())
             }
-            StatementKind::Deallocate { name } => match self.prepared.remove(name) {
-                Some(_) => Ok(Answer::local()),
-                None => Err(Refusal::new(Failure::UnknownPrepared, "no such prepared statement")),
-            },
             StatementKind::Begin { is_read_only } => self.begin(&statement.id, *is_read_only),
             StatementKind::Rollback => self.execute_rollback(),
             StatementKind::Commit => self.commit(statement, started_at_ms).await,
@@ -218,7 +235,7 @@
                 self.run(data_statement, started_at_ms).await
             }
             StatementKind::Execute { name, arguments } => {
-                let Some(shape) = self.prepared.get(name).cloned() else {
+                let Some(shape) = self.kept.prepared(name).cloned() else {
                     let detail = "no such prepared statement";
                     return Err(Refusal::new(Failure::UnknownPrepared, detail));
                 };
@@ -245,16 +262,6 @@
         }
     }
 
-    fn check_name_limit(&self, used: usize) -> Result<(), Refusal> {
-        match used < MAX_SESSION_NAMES {
-            true => Ok(()),
-            false => Err(Refusal::new(
-                Failure::TooLarge,
-                "the session has too many settings or prepared statements",
-            )),
-        }
-    }
-
     fn begin(&mut self, id: &Name, is_read_only: bool) -> StatementResult {
         if !matches!(self.block, TransactionBlock::Idle) {
             return Err(Refusal::new(Failure::Malformed, "a transaction is open already"));
@@ -307,10 +314,6 @@
         });
     }
 
-    fn values(&self) -> Vec<(Name, Name)> {
-        self.values.iter().map(|(name, value)| (name.clone(), value.clone())).collect()
-    }
-
     fn read_requirement(&self, route: &Route) -> ReadRequirement {
         match route.consistency {
             Consistency::Primary => ReadRequirement::Primary,
@@ -365,7 +368,7 @@
             transaction: None,
             begin: None,
             action,
-            values: self.values(),
+            values: self.kept.values(),
             read_requirement: self.read_requirement(route),
             starts_operation: true,
             deadline_ms: route.timeout_ms.saturating_sub(spent_ms),
@@ -476,7 +479,7 @@
             transaction: Some(transaction.id),
             begin: None,
             action,
-            values: self.values(),
+            values: self.kept.values(),
             read_requirement: ReadRequirement::Primary,
             starts_operation: false,
             deadline_ms: transaction.route.timeout_ms.saturating_sub(spent_ms),
--- a/core/tests/core/test_cluster.rs
+++ b/core/tests/core/test_cluster.rs
@@ -133,6 +133,7 @@
                 group: self.group.clone(),
             }),
             promoter: Arc::new(StandInPromoter(self.group.clone())),
+            limits: Arc::default(),
         };
         let node = Node::new(settings, dependencies);
         ownership::start(&node);
