Test crowds of callers of the PostgreSQL mode, with a setting for the memory of the host

Cause: the PostgreSQL mode holds what its callers send without a bound over all sessions. Ruled out: unread replies, which are passed on one message at a time.

--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -41,6 +41,9 @@
     pub member_password: ::std::string::String,
     #[doc = "User with which the daemon connects to backend servers."]
     pub member_user: ::std::string::String,
+    #[doc = "Memory of the host, in MB; what callers may make the daemon hold is a share of it."]
+    #[serde(default = "defaults::default_u64::<u64, 512>")]
+    pub memory_mb: u64,
     #[doc = "Name of the entry host, as in the fleet's document."]
     pub name: ::std::string::String,
     #[doc = "IP address and port for operators."]
--- a/tests/integration/harness/cluster.rs
+++ b/tests/integration/harness/cluster.rs
@@ -53,6 +53,8 @@
     daemon_proxies: BTreeMap<String, DaemonProxies>,
     /// Proxies between the members of each group, by index of the sender and of the receiver.
     replication_proxies: BTreeMap<String, Vec<Vec<Option<Arc<FaultProxy>>>>>,
+    /// Settings of all daemons that differ from the usual ones.
+    more_settings: serde_json::Map<String, Value>,
     directory: TempDir,
 }
 
@@ -70,6 +72,14 @@
 
     /// Starts a deployment and waits until it is ready.
     pub async fn start_with_plan(plan: DeploymentPlan) -> Self {
+        Self::start_with_settings(plan, serde_json::Map::new()).await
+    }
+
+    /// Starts a deployment whose daemons have some settings of their own.
+    pub async fn start_with_settings(
+        plan: DeploymentPlan,
+        more_settings: serde_json::Map<String, Value>,
+    ) -> Self {
         let workspaces = plan.workspaces.clone();
         let mut groups = BTreeMap::new();
         let mut replication_proxies = BTreeMap::new();
@@ -86,6 +96,7 @@
             daemons: BTreeMap::new(),
             daemon_proxies: BTreeMap::new(),
             replication_proxies,
+            more_settings,
             directory: tempfile::tempdir().expect("a temporary directory can be created"),
         };
         for host in cluster.deployment.host_names() {
@@ -147,6 +158,9 @@
         settings["platform_address"] = json!(daemon_proxies.platform.address().to_string());
         settings["drain_notice_ms"] = json!(500);
         settings["traffic_threads"] = json!(2);
+        for (name, value) in &self.more_settings {
+            settings[name] = value.clone();
+        }
         settings
     }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod decisions;
 mod harness;
 
+mod client_limits;
 mod keys;
 mod operations;
 mod rates;
