--- a/core/src/limits/connection_table.rs
+++ b/core/src/limits/connection_table.rs
@@ -143,9 +143,12 @@
 
     /// Records what a connection is doing.
     pub fn set_phase(&mut self, id: ConnectionId, phase: Phase, now_ms: u64) {
-        if let Some(entry) = self.take(id) {
-            self.insert(id, Entry { phase, since_ms: now_ms, ..entry });
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if let Some(former) = self.by_phase.get_mut(&entry.phase) {
+            former.remove(&(entry.since_ms, id));
         }
+        (entry.phase, entry.since_ms) = (phase, now_ms);
+        self.by_phase.entry(phase).or_default().insert((now_ms, id));
     }
 
     /// Removes a connection that has ended.
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -199,8 +199,9 @@
     let valid = requests.take_while(|request| ready(request.is_ok()));
     let has_begun = AtomicBool::new(false);
     let serving = valid.for_each(|request| {
-        has_begun.store(true, Ordering::Relaxed);
-        live.set_phase(Phase::Working);
+        if !has_begun.swap(true, Ordering::Relaxed) {
+            live.set_phase(Phase::Working);
+        }
         if let Ok(request) = request {
             let held = match &request.get().message {
                 RelayRequest::Run { call } => Some(limits.relay.charge(call_bytes(call))),
--- a/src/caller/gated_io.rs
+++ b/src/caller/gated_io.rs
@@ -34,6 +34,9 @@
 /// Longest wait for memory, in milliseconds.
 const MEMORY_WAIT_MS: u64 = 10_000;
 
+/// Time in which a caller may read nothing of its replies, in milliseconds.
+const UNREAD_MS: u64 = 60_000;
+
 /// A message's type, and a length that counts itself.
 const LAYOUT: FrameLayout = FrameLayout { type_bytes: 1, counts_itself: true };
 
@@ -52,6 +55,9 @@
     waiting_since_ms: u64,
     pace: Pace,
     check: Pin<Box<Sleep>>,
+    /// Pace of the output that is blocked, if it is.
+    write_pace: Option<Pace>,
+    write_check: Pin<Box<Sleep>>,
 }
 
 impl GatedIo {
@@ -61,8 +67,20 @@
         frame.record(buffered);
         let pace = Pace::new(now_ms(), bytes.limits().stall_ms);
         let check = Box::pin(tokio::time::sleep(CHECK_INTERVAL));
+        let write_check = Box::pin(tokio::time::sleep(CHECK_INTERVAL));
         let (is_reserved, reserving, waiting_since_ms) = (false, None, 0);
-        Self { inner, bytes, frame, is_reserved, reserving, waiting_since_ms, pace, check }
+        Self {
+            inner,
+            bytes,
+            frame,
+            is_reserved,
+            reserving,
+            waiting_since_ms,
+            pace,
+            check,
+            write_pace: None,
+            write_check,
+        }
     }
 
     fn fail(&self, applied: Applied, reason: &str) -> Poll<io::Result<()>> {
@@ -71,12 +89,7 @@
     }
 
     fn poll_check(&mut self, context: &mut Context<'_>) -> bool {
-        let is_due = self.check.as_mut().poll(context).is_ready();
-        if is_due {
-            self.check.as_mut().reset(Instant::now() + CHECK_INTERVAL);
-            let _ = self.check.as_mut().poll(context);
-        }
-        is_due
+        poll_timer(&mut self.check, context)
     }
 
     fn poll_reserve(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -146,6 +159,16 @@
     }
 }
 
+/// Returns whether a timer is due, and waits for its next interval.
+fn poll_timer(timer: &mut Pin<Box<Sleep>>, context: &mut Context<'_>) -> bool {
+    let is_due = timer.as_mut().poll(context).is_ready();
+    if is_due {
+        timer.as_mut().reset(Instant::now() + CHECK_INTERVAL);
+        let _ = timer.as_mut().poll(context);
+    }
+    is_due
+}
+
 impl AsyncRead for GatedIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -165,11 +188,36 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        match &written {
+            Poll::Ready(Ok(length)) => {
+                if let Some(pace) = &mut self.write_pace {
+                    pace.record(now_ms(), *length);
+                }
+            }
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => {
+                let pace = *self.write_pace.get_or_insert_with(|| Pace::new(now_ms(), UNREAD_MS));
+                if poll_timer(&mut self.write_check, context) {
+                    let limits = self.bytes.limits();
+                    let is_short = self.bytes.is_holding() && limits.messages.is_short();
+                    if pace.check(now_ms(), is_short).is_err() {
+                        limits.report.record(Applied::SlowReader);
+                        let reason = "the caller does not read its replies";
+                        return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, reason)));
+                    }
+                }
+            }
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
+        let flushed = Pin::new(&mut self.inner).poll_flush(context);
+        if flushed.is_ready() {
+            self.write_pace = None;
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/caller/session.rs
+++ b/src/caller/session.rs
@@ -293,8 +293,9 @@
     async fn send_ready(&mut self, wire: &mut CallerWire) -> SessionResult {
         let ready = ReadyForQuery::new(self.runner.status());
         send(wire, Reply::ReadyForQuery(ready)).await?;
+        flush(wire).await?;
         self.bytes.release();
-        flush(wire).await
+        Ok(())
     }
 
     /// Returns the classes of the statements in a text, from the cache if it has them.
--- a/src/caller/session_bytes.rs
+++ b/src/caller/session_bytes.rs
@@ -8,9 +8,10 @@
 use snipehead_core::limits::byte_budget::Reservation;
 use snipehead_core::sync::lock;
 
-/// Copies of a message while it runs: the read buffer, the decoded message, the batch, its encoded form
-/// and the write buffer of the connection to the member.
-pub const COPIES: usize = 5;
+/// Copies of a message while it runs: the read buffer, the decoded message, the tokens and the syntax tree
+/// of its text, the batch, its encoded form and the write buffer of the connection to the member. With five,
+/// 80 callers of queries of 1 MB exceeded the memory of their host in some runs.
+pub const COPIES: usize = 8;
 
 /// Small messages of a batch reserve this many bytes at once.
 const STEP_BYTES: usize = 64 << 10;
@@ -64,7 +65,12 @@
         true
     }
 
-    /// Gives everything back after the messages have been run.
+    /// Returns whether the session holds memory that others may wait for.
+    pub fn is_holding(&self) -> bool {
+        !lock(&self.held).reservations.is_empty()
+    }
+
+    /// Gives everything back after the messages have been run and their replies written.
     pub fn release(&self) {
         let released = std::mem::take(&mut *lock(&self.held));
         drop(released);
--- a/src/traffic/caller_limits.rs
+++ b/src/traffic/caller_limits.rs
@@ -25,8 +25,8 @@
 }
 
 impl CallerLimits {
-    /// Derives the limits from the memory of the host. Three eighths of it are for messages with their
-    /// copies, a twelfth for what sessions keep; the rest is for replies, connections and the process. The number of sessions is limited when they are admitted;
+    /// Derives the limits from the memory of the host. A quarter of it is for messages with their copies, a
+    /// twelfth for what sessions keep; the rest is for replies, connections and the process. The number of sessions is limited when they are admitted;
     /// here, at most a quarter as many connections may be without a session.
     pub fn new(memory_mb: u64, max_connections: usize) -> Self {
         let memory_bytes = usize::try_from(memory_mb.saturating_mul(1 << 20)).unwrap_or(usize::MAX);
@@ -39,7 +39,7 @@
         let host = HostLimits::for_host(memory_mb, u64::MAX);
         let host = HostLimits { session_kept_bytes: host.kept_bytes / 2, ..host };
         Self {
-            messages: ByteBudget::new(memory_bytes / 8 * 3),
+            messages: ByteBudget::new(memory_bytes / 4),
             kept: KeptLedger::new(&host),
             connections: LiveConnections::new(ConnectionTable::new(connections)),
             report: LimitReport::default(),
--- a/src/wire/frontend_codec.rs
+++ b/src/wire/frontend_codec.rs
@@ -24,13 +24,15 @@
     context: DecodeContext,
     max_message_bytes: usize,
     is_authenticated: bool,
+    /// Whether the output has been longer than is kept since its buffer was new.
+    output_has_grown: bool,
 }
 
 impl FrontendCodec {
     /// Creates a codec that rejects messages longer than `max_message_bytes`.
     pub fn new(max_message_bytes: usize) -> Self {
         let context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-        Self { context, max_message_bytes, is_authenticated: true }
+        Self { context, max_message_bytes, is_authenticated: true, output_has_grown: false }
     }
 
     /// Expects the startup message next, after the negotiation of encryption.
@@ -80,11 +82,10 @@
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
         self.check_length(source)?;
+        let before_bytes = source.len();
         let message = PgWireFrontendMessage::decode(source, &self.context)?;
-        if message.is_some()
-            && source.capacity() > KEPT_BUFFER_BYTES
-            && source.len() < KEPT_BUFFER_BYTES
-        {
+        if before_bytes - source.len() > KEPT_BUFFER_BYTES {
+            // The rest no longer shares its memory with the message.
             *source = BytesMut::from(&source[..]);
         }
         Ok(message)
@@ -99,9 +100,13 @@
         item: PgWireBackendMessage,
         target: &mut BytesMut,
     ) -> Result<(), Self::Error> {
-        if target.is_empty() && target.capacity() > KEPT_BUFFER_BYTES {
+        // What was written is no part of the capacity, but still allocated.
+        if target.is_empty() && self.output_has_grown {
             *target = BytesMut::new();
+            self.output_has_grown = false;
         }
-        item.encode(target)
+        item.encode(target)?;
+        self.output_has_grown |= target.len() > KEPT_BUFFER_BYTES;
+        Ok(())
     }
 }
