--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -23,6 +23,7 @@
 use crate::lease_table::Identity;
 use crate::lease_table::LEASE_MS;
 use crate::lease_table::LeaseTable;
+use crate::limits::ClientLimits;
 use crate::member::MemberConnector;
 use crate::member::MemberPromoter;
 use crate::member_directory::MemberDirectory;
@@ -103,6 +104,8 @@
     pub promoter: Arc<dyn MemberPromoter>,
     /// Receives usage reports; without it, usage is not reported.
     pub usage_sink: Option<Arc<dyn UsageSink>>,
+    /// Limits on clients, and what counts against them.
+    pub limits: Arc<ClientLimits>,
 }
 
 /// The process on an entry host, with everything that its tasks share.
@@ -113,6 +116,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) owner_directory: OwnerDirectory,
     pub(crate) peers: PeerPool,
+    pub(crate) limits: Arc<ClientLimits>,
     pub(crate) lease_table: Mutex<LeaseTable>,
     pub(crate) services: Mutex<HashMap<Name, Arc<OwnedService>>>,
     pub(crate) members: Arc<MemberDirectory>,
@@ -145,6 +149,7 @@
         let nodes = Arc::new(Mutex::new(NodeDirectory::new(record)));
         let sink = dependencies.usage_sink.clone();
         let usage = Usage::new(settings.usage, sink, settings.identity.incarnation);
+        let limits = dependencies.limits.clone();
         Arc::new(Self {
             lease_table: Mutex::new(LeaseTable::new(settings.identity.clone())),
             settings,
@@ -152,7 +157,8 @@
             configuration: Arc::default(),
             metrics: Arc::default(),
             owner_directory: OwnerDirectory::default(),
-            peers: PeerPool::new(nodes.clone()),
+            peers: PeerPool::new(nodes.clone(), limits.clone()),
+            limits,
             services: Mutex::default(),
             members: Arc::default(),
             token_cache: Mutex::default(),
@@ -178,6 +184,11 @@
         &self.metrics
     }
 
+    /// Returns the limits on clients.
+    pub fn limits(&self) -> &Arc<ClientLimits> {
+        &self.limits
+    }
+
     /// Returns the identity of this process.
     pub fn incarnation(&self) -> u64 {
         self.settings.identity.incarnation
@@ -187,6 +198,7 @@
     pub fn render_metrics(&self) -> String {
         let mut text = String::new();
         self.metrics.render(&mut text);
+        self.limits.render_metrics(&mut text);
         let known = self.configuration.known();
         let version = known.map_or(0, |known| known.configuration.version);
         let _ = writeln!(text, "configuration_version {version}");
--- a/core/src/service/borrowed.rs
+++ b/core/src/service/borrowed.rs
@@ -210,8 +210,9 @@
             Err(error) => {
                 self.connection = None;
                 pool.connection_closed(&self.member.key);
-                // Members that are busy or behind send replies that prove nothing without failing.
-                if matches!(error, MemberError::Mismatched(_)) {
+                // Members that are busy or behind send replies that prove nothing without failing, and a
+                // reply that is too large is no failure of theirs.
+                if matches!(error, MemberError::Mismatched(_) | MemberError::TooLarge(_)) {
                     return Err(error);
                 }
                 pool.record_result(now_ms(), &self.member.key, true);
@@ -241,7 +242,7 @@
 
     /// Returns the connection to the pool, or closes it if it may not be used again.
     pub(super) fn return_to_pool(mut self) {
-        if let Some(connection) = self.connection.take_if(|kept| kept.inner.is_reusable()) {
+        if let Some(connection) = self.connection.take_if(|kept| kept.is_reusable()) {
             let surplus = lock(&self.service.pool).return_connection(&self.member.key, connection);
             if let Some(closed) = &surplus {
                 log::debug!(
--- a/core/tests/core/test_cluster.rs
+++ b/core/tests/core/test_cluster.rs
@@ -135,6 +135,7 @@
             }),
             promoter: Arc::new(StandInPromoter(self.group.clone())),
             usage_sink: None,
+            limits: Arc::default(),
         };
         let node = Node::new(settings, dependencies);
         ownership::start(&node);
