--- a/core/src/pressure_table/level_admission.rs
+++ b/core/src/pressure_table/level_admission.rs
@@ -127,8 +127,8 @@
         });
         limit.objective_ms = limit.objective_ms.max(objective_ms);
         // First attempts are preferred as probes, but a node may see nothing but retries.
-        let patience_ms = if arrival.is_retry { PROBE_INTERVAL_MS } else { 0 };
-        if now_ms >= limit.next_probe_at_ms + patience_ms {
+        let retry_delay_ms = if arrival.is_retry { PROBE_INTERVAL_MS } else { 0 };
+        if now_ms >= limit.next_probe_at_ms + retry_delay_ms {
             limit.next_probe_at_ms = now_ms + probe_interval_ms(expected_wait_ms, random);
             return Admission::Probe;
         }
--- a/core/tests/core/usage_reports.rs
+++ b/core/tests/core/usage_reports.rs
@@ -40,14 +40,14 @@
         platform_down: cluster.random.random_bool(0.2),
     };
     for host in 0..HOSTS {
-        let (fate, owns) = (cluster.random.random_range(0..10), cluster.random.random_bool(0.5));
+        let (event, owns) = (cluster.random.random_range(0..10), cluster.random.random_bool(0.5));
         let pause_ms = cluster.random.random_range(500..8_000);
         cluster.hosts[host].believes_to_own = owns;
-        cluster.hosts[host].is_cut_off = fate == 0;
+        cluster.hosts[host].is_cut_off = event == 0;
         let jump_ms = cluster.random.random_range(-9_000..9_000);
         cluster.hosts[host].clock_error_ms =
-            if fate == 3 && has_wrong_clocks { jump_ms } else { 20 };
-        match fate {
+            if event == 3 && has_wrong_clocks { jump_ms } else { 20 };
+        match event {
             1 => cluster.hosts[host].is_dead = true,
             2 => cluster.hosts[host].frozen_until_ms = cluster.now_ms + pause_ms,
             _ if cluster.hosts[host].is_dead => cluster.restart(host),
