--- a/core/src/service/usable_slots.rs
+++ b/core/src/service/usable_slots.rs
@@ -7,7 +7,7 @@
 /// open, so that most of what took the slot is over.
 const FIRST_STEP_MS: u64 = 100;
 
-/// Longest such time, in milliseconds: a member that is busy again and again gets few statements
+/// Longest such time, in milliseconds: a member that is busy repeatedly gets few statements
 /// too many, and one that recovers gets all of its slots back within seconds.
 const MAX_STEP_MS: u64 = 400;
 
--- a/core/src/usage/reporter.rs
+++ b/core/src/usage/reporter.rs
@@ -131,7 +131,7 @@
         /// Those nodes.
         missing: Vec<Name>,
     },
-    /// Windows are not reported, because they are too old or were refused again and again.
+    /// Windows are not reported, because they are too old or were refused repeatedly.
     Missed {
         /// First of them.
         from: u64,
--- a/core/tests/core/member_choices.rs
+++ b/core/tests/core/member_choices.rs
@@ -113,7 +113,7 @@
 }
 
 /// Load: nine tenths of the slots, while others occupy a slot of one member for seconds. Guards
-/// against statements that the member refuses again and again.
+/// against statements that the member refuses repeatedly.
 #[test]
 fn a_member_that_refuses_as_busy_gets_fewer_statements() {
     let occupied = Load { per_ms: 1.1, others: |member| usize::from(member == 1), ..CALM };
