--- a/review/stage-2/src/main.rs
+++ b/review/stage-2/src/main.rs
@@ -262,11 +262,12 @@
         if has_trouble {
             stage.cloud.set_reach(Reach::Served);
         }
-        sleep(4_000);
+        sleep(3_400);
         if has_trouble {
             stage.group.set_deaf(2, false);
+            stage.group.set_state(0, State::Up);
         }
-        sleep(2_000);
+        sleep(2_600);
     });
     finish(&stage, &acknowledged)
 }
@@ -291,9 +292,10 @@
             sleep(15_000);
             return;
         }
-        stage.cloud.set_reach(Reach::Silent);
+        stage.group.wait_until_caught_up();
         stage.group.set_state(0, State::Dark);
         let dark_since_ms = now_ms();
+        stage.cloud.set_reach(Reach::SilentFromOrder);
         // The first order gets no answer; the owner looks for its effect for 3.1 s and then checks the
         // members again before it repeats the order.
         let until_ms = now_ms() + 6_000;
@@ -311,11 +313,10 @@
         was_stopped = true;
         sleep((first.at_ms + 3_300).saturating_sub(now_ms()));
         owner.signal(SIGSTOP);
-        sleep(500);
         stage.cloud.set_reach(Reach::Served);
         sleep((dark_since_ms + 6_900).saturating_sub(now_ms()));
         stage.group.set_state(0, State::Up);
-        sleep((first.at_ms + 3_300 + 5_000).saturating_sub(now_ms()));
+        sleep((first.at_ms + 3_300 + 3_950).saturating_sub(now_ms()));
         owner.signal(SIGCONT);
         sleep(3_000);
     });
@@ -431,11 +432,12 @@
                 sleep(5);
             };
             let index = if member == "i-2" { 1 } else { 2 };
+            // One member is dark at a time.
+            sleep((at_ms + 150).saturating_sub(now_ms()));
+            group.set_state(0, State::Up);
             sleep((at_ms + 300).saturating_sub(now_ms()));
             group.set_state(index, State::Dark);
-            sleep((at_ms + 2_000).saturating_sub(now_ms()));
-            group.set_state(0, State::Up);
-            sleep((at_ms + 4_800).saturating_sub(now_ms()));
+            sleep((at_ms + 3_950).saturating_sub(now_ms()));
             group.set_state(index, State::Up);
         });
     }
--- a/review/stage-2/src/members.rs
+++ b/review/stage-2/src/members.rs
@@ -198,6 +198,23 @@
         member.sees_newer_since_ms = None;
     }
 
+    /// Waits until each replica has every commit of the primary, for a second at most.
+    pub fn wait_until_caught_up(&self) {
+        for _ in 0..1_000 {
+            let state = self.state.lock().expect("not poisoned");
+            let numbers: Vec<Option<u64>> = state
+                .members
+                .iter()
+                .map(|member| member.log.last().map(|last| last.number))
+                .collect();
+            if numbers.iter().all(|number| *number == numbers[0]) {
+                return;
+            }
+            drop(state);
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     pub fn set_deaf(&self, index: usize, is_deaf: bool) {
         let mut state = self.state.lock().expect("not poisoned");
         let member = &mut state.members[index];
--- a/review/stage-2/src/platform.rs
+++ b/review/stage-2/src/platform.rs
@@ -275,6 +275,8 @@
     Refused,
     /// They are accepted, and requests are neither carried out nor answered.
     Silent,
+    /// The same from the next order on; until then they are served.
+    SilentFromOrder,
 }
 
 /// The platform's call `POST /failover`.
@@ -313,7 +315,7 @@
             let reach = *self.reach.lock().expect("not poisoned");
             match reach {
                 Reach::Refused => listener = None,
-                Reach::Served | Reach::Silent => {
+                Reach::Served | Reach::Silent | Reach::SilentFromOrder => {
                     if listener.is_none() {
                         listener = TcpListener::bind(self.address).ok();
                     }
@@ -353,6 +355,9 @@
             order.token,
             order.member
         );
+        if *self.reach.lock().expect("not poisoned") == Reach::SilentFromOrder {
+            self.set_reach(Reach::Silent);
+        }
         if *self.reach.lock().expect("not poisoned") == Reach::Silent {
             self.unanswered.lock().expect("not poisoned").push(order);
             thread::sleep(Duration::from_secs(30));
