--- a/core/src/failover.rs
+++ b/core/src/failover.rs
@@ -130,12 +130,14 @@
 }
 
 /// Returns the candidate with the newest log: the one that follows the newest term, and of these the
-/// one with the newest position. One whose promotion had no effect is the last choice.
+/// one with the newest position. One whose promotion had no effect is the last choice. A replica is
+/// preferred to a former primary with the same log, for which an order may have no effect.
 fn successor(members: &[MemberView], except: Option<&MemberKey>) -> Option<MemberKey> {
     let rank = |member: &&MemberView| {
         let held_term = member.status.map_or(0, |status| status.term);
         let term = held_term.max(member.position.term);
-        (!member.is_unpromotable, term, member.position)
+        let is_replica = member.status.is_some_and(|status| !status.is_primary);
+        (!member.is_unpromotable, term, member.position, is_replica)
     };
     candidates(members, except).max_by_key(rank).map(|member| member.key.clone())
 }
--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -76,9 +76,13 @@
     pub preferred_owner: Option<Name>,
     /// Member whose promotion was ordered and is not known to have completed or failed.
     pub pending_promotion: Option<Name>,
-    /// Newest term that a holder has served or has ordered a promotion for.
+    /// Newest term that a holder has served or that an ordered promotion may have begun.
     #[serde(default)]
     pub term: u64,
+    /// Least term that the member whose promotion is pending leads once that has taken effect; 0 if
+    /// it is `term`.
+    #[serde(default)]
+    pub pending_term: u64,
     /// Primary that was last served.
     #[serde(default)]
     pub primary: Option<Name>,
@@ -93,6 +97,7 @@
             term: self.term,
             primary: self.primary.clone(),
             pending_promotion: self.pending_promotion.clone(),
+            pending_term: self.pending_term,
         }
     }
 }
@@ -376,6 +381,7 @@
             preferred_owner,
             pending_promotion: leadership.pending_promotion,
             term: leadership.term,
+            pending_term: leadership.pending_term,
             primary: leadership.primary,
             sent_at_store_ms: self.store_clock.at_most_ms(now_ms),
         };
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod pressure;
 pub mod pressure_table;
 pub mod pressure_teller;
+pub mod promotion_order;
 mod rate_admission;
 mod rebalancer;
 pub mod refusal_history;
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -210,7 +210,7 @@
             refusal_log: Mutex::new(RefusalLog::new(now_ms())),
             pressure: Mutex::default(),
             state: Mutex::default(),
-            succession: Mutex::new(Succession::new(leadership)),
+            succession: Mutex::new(Succession::new(now_ms(), leadership)),
             idle_transactions: Mutex::new(TransactionTable::new(fencing_token)),
             running_transactions: AtomicU64::new(0),
             monitor_wakeup: Notify::new(),
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -226,7 +226,7 @@
         self.probe(probe_connections, entries).await;
     }
 
-    fn member_views(&self) -> (Option<MemberKey>, Vec<MemberView>) {
+    pub(super) fn member_views(&self) -> (Option<MemberKey>, Vec<MemberView>) {
         let pool = lock(&self.pool);
         let views = pool.members().iter().map(|(key, member)| MemberView {
             key: key.clone(),
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -11,6 +11,8 @@
 use crate::member::MemberKey;
 use crate::member::MemberStatus;
 use crate::member::PromotionError;
+use crate::promotion_order::OrderEffect;
+use crate::promotion_order::PromotionOrder;
 use crate::service::OwnedService;
 use crate::service::matched_connection::MatchedConnection;
 use crate::service::monitor::MONITOR_INTERVAL;
@@ -19,6 +21,7 @@
 use crate::service::probe::ProbeResult;
 use crate::service::probe::SYSTEM_TENANT;
 use crate::succession::Leadership;
+use crate::succession::PendingStep;
 use crate::sync::lock;
 
 /// Longest wait for running statements and open transactions of a primary before a planned move, in
@@ -28,10 +31,6 @@
 /// Longest wait for a successor to catch up before a planned move, in milliseconds.
 const CATCH_UP_LIMIT_MS: u64 = 1_000;
 
-/// Longest wait for a promoted member to become primary, in milliseconds. After it a new decision
-/// is made, which repeats the promotion if it is still due.
-const PROMOTION_LIMIT_MS: u64 = 2_500;
-
 /// Pause after the store did not record a change of primary.
 const RECORD_RETRY: Duration = Duration::from_millis(200);
 
@@ -43,9 +42,9 @@
 enum PromotionResult {
     /// The member is primary.
     Promoted,
-    /// The order was not carried out, or has had no effect.
+    /// The order was not carried out, or is known to have no effect.
     NotDone,
-    /// The order may still take effect.
+    /// The order may still take effect, or may have taken effect unseen.
     Unknown,
 }
 
@@ -138,8 +137,7 @@
     /// Records that a member serves as primary of a term and that no promotion is pending. Returns
     /// whether that is stored.
     async fn record_served(&self, primary: &MemberKey, term: u64) -> bool {
-        let primary = Some(primary.id.clone());
-        let leadership = Leadership { term, primary, pending_promotion: None };
+        let leadership = Leadership::served(primary.id.clone(), term);
         self.leadership() == leadership || self.record_leadership(leadership).await
     }
 
@@ -155,8 +153,10 @@
     /// Records what the next owner must know about the primary. Returns whether it is stored.
     async fn record_leadership(&self, leadership: Leadership) -> bool {
         let is_recorded = self.context.node.record_leadership(&self.name, leadership.clone()).await;
-        if is_recorded {
-            lock(&self.succession).set_recorded(leadership);
+        let mut succession = lock(&self.succession);
+        match is_recorded {
+            true => succession.set_recorded(leadership),
+            false => succession.set_unconfirmed(),
         }
         is_recorded
     }
@@ -169,6 +169,9 @@
         primary: Option<&MemberKey>,
         successor: MemberKey,
     ) {
+        if !lock(&self.succession).may_order(now_ms()) {
+            return;
+        }
         if let Some(entry) = self.unreachable_primary(primary) {
             let found = self.context.node.find_node_reaching(&self.name, entry.address).await;
             if let Some(node) = found {
@@ -242,6 +245,9 @@
         primary: Option<&MemberKey>,
         successor: MemberKey,
     ) {
+        if !lock(&self.succession).may_order(now_ms()) {
+            return;
+        }
         log::info!(
             event = "primary_move_started", service = &*self.name, to = &*successor.id,
             from = primary.map_or("-", |primary| &*primary.id); ""
@@ -320,7 +326,7 @@
             let promotion = succession.promotion_of(&successor.id, reported_term);
             (succession.recorded().clone(), promotion)
         };
-        let term = leadership.term;
+        let term = leadership.pending_term;
         if !self.record_leadership(leadership).await {
             log::warn!(
                 event = "promotion_not_recorded", service = &*self.name, member = &*successor.id,
@@ -340,10 +346,10 @@
         );
         match self.promote_and_wait(probe_connections, successor, term).await {
             PromotionResult::Promoted => self.complete_promotion(former, successor).await,
-            PromotionResult::NotDone if former_leadership.pending_promotion.is_none() => {
+            PromotionResult::NotDone => {
                 self.record_leadership(former_leadership).await;
             }
-            PromotionResult::NotDone | PromotionResult::Unknown => {}
+            PromotionResult::Unknown => {}
         }
     }
 
@@ -378,6 +384,7 @@
         successor: &MemberKey,
         min_term: u64,
     ) -> PromotionResult {
+        let held = self.status_of(successor).map(|status| status.position).unwrap_or_default();
         let ordered =
             self.context.promoter.promote(&self.name, &successor.id, self.fencing_token).await;
         if let Err(error) = &ordered {
@@ -391,57 +398,92 @@
             tokio::time::sleep(ORDER_RETRY).await;
             return PromotionResult::NotDone;
         }
-        let deadline_at_ms = now_ms() + PROMOTION_LIMIT_MS;
-        while now_ms() < deadline_at_ms && self.has_valid_lease() {
+        let given_at_ms = now_ms();
+        lock(&self.succession).set_ordered(given_at_ms);
+        let order = PromotionOrder { min_term, held, given_at_ms, is_accepted: ordered.is_ok() };
+        while now_ms() < order.effect_until_ms() && self.has_valid_lease() {
             let Some(entry) = self.entry_of(successor) else { break };
             self.probe(probe_connections, vec![entry]).await;
-            let status = self.status_of(successor);
-            if status.is_some_and(|status| status.is_primary && status.term >= min_term) {
+            let effect = order.effect(given_at_ms, self.status_of(successor));
+            if effect == OrderEffect::Taken {
                 return PromotionResult::Promoted;
             }
             tokio::time::sleep(URGENT_INTERVAL).await;
         }
-        // An accepted order takes effect in less time, if the member runs and does not lead already.
-        match ordered.is_ok() && self.has_valid_lease() {
-            true => {
-                lock(&self.pool).mark_unpromotable(successor);
-                PromotionResult::NotDone
-            }
-            false => PromotionResult::Unknown,
+        self.judge_late(successor, &order).await
+    }
+
+    /// Judges an order that has not been seen to take effect in time, by a status that the member
+    /// is asked for now.
+    async fn judge_late(
+        self: &Arc<Self>,
+        successor: &MemberKey,
+        order: &PromotionOrder,
+    ) -> PromotionResult {
+        if !self.has_valid_lease() {
+            return PromotionResult::Unknown;
+        }
+        let asked_at_ms = now_ms();
+        let status = match self.entry_of(successor) {
+            Some(entry) => match self.probe_anew(entry).await {
+                ProbeResult::Reported(status) => Some(status),
+                ProbeResult::Busy | ProbeResult::Replaced | ProbeResult::Failed(_) => None,
+            },
+            None => None,
+        };
+        // A member that started anew is listed as another one.
+        let status = status.filter(|_| self.entry_of(successor).is_some());
+        let effect = order.effect(asked_at_ms, status);
+        log::warn!(
+            event = "promotion_not_seen", service = &*self.name, member = &*successor.id,
+            effect = format!("{effect:?}"), accepted = order.is_accepted,
+            status = format!("{status:?}"); ""
+        );
+        if effect != OrderEffect::Taken && order.is_accepted {
+            lock(&self.pool).mark_unpromotable(successor);
+        }
+        match effect {
+            OrderEffect::Taken => PromotionResult::Promoted,
+            OrderEffect::None => PromotionResult::NotDone,
+            OrderEffect::Open => PromotionResult::Unknown,
         }
     }
 
-    /// Completes a promotion that a former owner recorded, by ordering it once more while no primary
-    /// is in use and the member answers. Returns false if there is none to complete or another member
-    /// must be promoted in its place.
+    /// Completes a promotion that is recorded, by using the member if it leads its new term or by
+    /// ordering it once more, while no primary is in use. Returns false if there is none to complete
+    /// or another member must be promoted in its place.
     pub(super) async fn resume_promotion(
         self: &Arc<Self>,
         probe_connections: &mut ProbeConnections,
     ) -> bool {
-        let leadership = self.leadership();
-        let Some(member) = leadership.pending_promotion else { return false };
-        if lock(&self.pool).primary().is_some() {
+        let (primary, views) = self.member_views();
+        let (leadership, is_confirmed, step) = {
+            let succession = lock(&self.succession);
+            let leadership = succession.recorded().clone();
+            (leadership, succession.is_confirmed(), succession.pending_step(now_ms(), &views))
+        };
+        if leadership.pending_promotion.is_none() || primary.is_some() {
             return false;
         }
-        let key = {
-            let pool = lock(&self.pool);
-            if pool.members().is_empty() {
+        let key = match step {
+            PendingStep::Leave => return views.is_empty(),
+            PendingStep::Adopt(key) => {
+                self.complete_promotion(None, &key).await;
                 return true;
             }
-            let mut promotable = pool.members().iter().filter(|(_, member)| {
-                member.failing_since_ms.is_none()
-                    && member.status.is_some()
-                    && !member.is_unpromotable
-            });
-            promotable.find(|(key, _)| key.id == member).map(|(key, _)| key.clone())
+            PendingStep::Order(key) => key,
         };
-        let Some(key) = key else { return false };
+        let term = leadership.min_pending_term();
+        // A later owner must find the order that is given now.
+        if !is_confirmed && !self.record_leadership(leadership).await {
+            tokio::time::sleep(RECORD_RETRY).await;
+            return true;
+        }
         log::info!(
-            event = "promotion_resumed", service = &*self.name, member = &*member,
-            term = leadership.term; ""
+            event = "promotion_resumed", service = &*self.name, member = &*key.id, term = term; ""
         );
         // The promotion may have taken effect already, so the recorded term is accepted.
-        let result = self.promote_and_wait(probe_connections, &key, leadership.term).await;
+        let result = self.promote_and_wait(probe_connections, &key, term).await;
         if result == PromotionResult::Promoted {
             self.complete_promotion(None, &key).await;
         }
--- a/core/tests/core/extreme_values.rs
+++ b/core/tests/core/extreme_values.rs
@@ -51,6 +51,7 @@
         preferred_owner: None,
         pending_promotion: None,
         term,
+        pending_term: 0,
         primary: None,
         sent_at_store_ms,
     }
@@ -105,13 +106,14 @@
 
     #[test]
     fn any_term_can_be_followed_by_a_promotion(
-        recorded in extreme(),
+        (recorded, pending_term) in (extreme(), extreme()),
         reported in extreme(),
         served in extreme(),
     ) {
+        let pending_promotion = Some("m1".into());
         let leadership =
-            Leadership { term: recorded, primary: None, pending_promotion: Some("m1".into()) };
-        let mut succession = Succession::new(leadership);
+            Leadership { term: recorded, primary: None, pending_promotion, pending_term };
+        let mut succession = Succession::new(recorded, leadership);
         succession.set_served_term(served);
         let promotion = succession.promotion_of(&"m2".into(), reported);
         prop_assert!(promotion.term >= served.max(reported));
--- a/core/tests/core/leases.rs
+++ b/core/tests/core/leases.rs
@@ -157,6 +157,7 @@
         preferred_owner: None,
         pending_promotion: None,
         term: 0,
+        pending_term: 0,
         primary: None,
         sent_at_store_ms: None,
     }
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -22,6 +22,7 @@
 mod placements;
 mod pools;
 mod primaries;
+mod promotion_orders;
 mod rates;
 mod relay_formats;
 mod reply_matching;
--- a/core/tests/core/primaries.rs
+++ b/core/tests/core/primaries.rs
@@ -80,6 +80,41 @@
     }
 }
 
+/// An accepted order whose member went silent counted as not carried out: the old primary was used
+/// again beside its successor, and its writes were lost.
+#[tokio::test]
+async fn a_primary_is_not_used_again_while_the_member_ordered_in_its_place_is_silent() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.promotion_ms.store(1_000, Ordering::Release);
+    let mut session = cluster.open(0, "bookings");
+    cluster.group.set_up("m1", false);
+    assert!(run(&mut session, "w0", "STORE a 0").await.is_err());
+    let started = Instant::now();
+    let ordered = loop {
+        if let Some((member, _)) = cluster.group.promotions().first() {
+            break member.clone();
+        }
+        assert!(started.elapsed() < WAIT_LIMIT, "no promotion is ordered");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    cluster.group.restart_as_stale_primary("m1");
+    cluster.group.cut("host-0", &ordered);
+    let mut served = 0;
+    for number in 1.. {
+        let ended = run(&mut session, &format!("w{number}"), "STORE a 1").await;
+        if let Ok(answer) = &ended {
+            let term = answer.position.expect("the answer has a position").term;
+            assert!(term > 2, "written in term {term} after {ordered} has led term 2");
+            served += 1;
+        }
+        if served == 3 {
+            break;
+        }
+        assert!(started.elapsed() < WAIT_LIMIT, "no write is served: {ended:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// A move whose promotion could not be recorded rolled transactions back in each attempt.
 #[tokio::test]
 async fn a_move_that_cannot_be_recorded_leaves_transactions_alone() {
--- a/core/tests/core/successions.rs
+++ b/core/tests/core/successions.rs
@@ -11,6 +11,7 @@
 use snipehead_core::member::MemberKey;
 use snipehead_core::member::MemberStatus;
 use snipehead_core::succession::Leadership;
+use snipehead_core::succession::PendingStep;
 use snipehead_core::succession::Succession;
 
 const MEMBERS: usize = 3;
@@ -107,7 +108,7 @@
     fn kill(&mut self) {
         self.unpromotable = None;
         self.serving = None;
-        self.succession = Succession::new(self.record.clone());
+        self.succession = Succession::new(LATE_MS, self.record.clone());
     }
 
     /// Writes the record. Returns whether the owner goes on and knows that it is stored.
@@ -138,18 +139,14 @@
     }
 
     fn decide(&mut self, write: Write) {
-        let pending = self.succession.recorded().pending_promotion.clone();
-        let resumed = pending
-            .and_then(|id| (0..MEMBERS).find(|member| key(*member).id == id))
-            .filter(|member| self.serving.is_none() && self.reached[*member])
-            .filter(|member| self.unpromotable != Some(*member));
-        if let Some(member) = resumed
-            && self.members[member].term < self.succession.min_term()
-        {
-            self.orders.push(member);
-            return;
-        }
         let views = self.views();
+        if self.serving.is_none() {
+            match self.succession.pending_step(u64::MAX, &views) {
+                PendingStep::Adopt(key) => return self.adopt(index(&key), write),
+                PendingStep::Order(key) => return self.orders.push(index(&key)),
+                PendingStep::Leave => {}
+            }
+        }
         let known = self.serving.map(|(member, _)| key(member));
         if leads_newer_term(known.as_ref(), self.succession.min_term(), &views) {
             let member = self.serving.take().map(|(member, _)| member);
@@ -173,8 +170,7 @@
     fn adopt(&mut self, leader: usize, write: Write) {
         self.serving = None;
         let term = self.members[leader].term;
-        let leadership =
-            Leadership { term, primary: Some(key(leader).id), pending_promotion: None };
+        let leadership = Leadership::served(key(leader).id, term);
         if self.succession.must_record(term) && !self.record(leadership, write) {
             return;
         }
