--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -71,6 +71,10 @@
     pub renewal: u64,
     /// Whether the holder has given up the lease and no longer acts as owner.
     pub is_released: bool,
+    /// Whether the former holder, which offered the lease, may still act as owner. Nobody acts under
+    /// this record before the former holder reports that it has stopped or its lease has expired.
+    #[serde(default)]
+    pub is_former_holder_active: bool,
     /// Node that should acquire a released lease.
     #[serde(rename = "heir")]
     pub preferred_owner: Option<Name>,
@@ -210,13 +214,16 @@
         });
         lease.version = version;
         lease.observed_at_ms = now_ms;
-        let was_offered = std::mem::take(&mut lease.is_offered);
+        lease.is_offered = false;
         lease.next_write_at_ms = 0;
         match (is_mine, &record) {
             (true, Some(record)) => {
                 if lease.acquired_version.is_none() {
                     lease.acquired_version = Some(version);
-                    lease.inactive_until_ms = if was_offered { now_ms + LEASE_MS } else { 0 };
+                    lease.inactive_until_ms = match record.is_former_holder_active {
+                        true => now_ms + LEASE_MS,
+                        false => 0,
+                    };
                     lease.leadership = record.leadership();
                 }
                 let sent = lease.sent.iter().find(|(renewal, _)| *renewal == record.renewal);
@@ -334,7 +341,8 @@
     /// Returns when the first candidate may take a lease over.
     fn takeover_at_ms(&self, now_ms: u64, lease: &Lease, record: Option<&LeaseRecord>) -> u64 {
         let Some(record) = record else { return lease.observed_at_ms + FIRST_TAKEOVER_DELAY_MS };
-        if record.is_released || record.address == self.identity.address {
+        let has_own_address = record.address == self.identity.address;
+        if record.is_released || (has_own_address && !record.is_former_holder_active) {
             return lease.observed_at_ms;
         }
         let by_observation_ms = lease.observed_at_ms + LEASE_MS + TAKEOVER_MARGIN_MS;
@@ -367,6 +375,10 @@
             lease.sent.pop_front();
         }
         lease.next_write_at_ms = now_ms + RENEW_RETRY_MS;
+        let is_former_holder_active = match lease.acquired_version {
+            Some(_) => now_ms < lease.inactive_until_ms,
+            None => lease.is_offered,
+        };
         // A new holder inherits what the previous one has recorded.
         let leadership = match (lease.acquired_version, &lease.record) {
             (None, Some(record)) => record.leadership(),
@@ -378,6 +390,7 @@
             incarnation: self.identity.incarnation,
             renewal,
             is_released,
+            is_former_holder_active,
             preferred_owner,
             pending_promotion: leadership.pending_promotion,
             term: leadership.term,
@@ -414,10 +427,12 @@
         self.leases.get(service).map(|lease| lease.leadership.clone()).unwrap_or_default()
     }
 
-    /// Records that the previous holder of an offered lease no longer acts as owner.
+    /// Records that the previous holder of an offered lease no longer acts as owner. The next write,
+    /// which is due at once, says so to other processes.
     pub fn activate(&mut self, service: &Name) {
         if let Some(lease) = self.leases.get_mut(service) {
             lease.inactive_until_ms = 0;
+            lease.next_write_at_ms = 0;
         }
     }
 
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -218,7 +218,10 @@
     });
     for (name, valid_until_ms, token, leadership) in held {
         if let Some(service) = services.get(&name) {
-            service.extend_lease(valid_until_ms);
+            // A former ownership that is still being handed over keeps its own lease.
+            if service.fencing_token() == token {
+                service.extend_lease(valid_until_ms);
+            }
             continue;
         }
         let context = ServiceContext {
--- a/core/tests/core/extreme_values.rs
+++ b/core/tests/core/extreme_values.rs
@@ -48,6 +48,7 @@
         incarnation,
         renewal,
         is_released: false,
+        is_former_holder_active: false,
         preferred_owner: None,
         pending_promotion: None,
         term,
--- a/core/tests/core/leases.rs
+++ b/core/tests/core/leases.rs
@@ -154,6 +154,7 @@
         incarnation: identity.incarnation,
         renewal,
         is_released: false,
+        is_former_holder_active: false,
         preferred_owner: None,
         pending_promotion: None,
         term: 0,
@@ -173,6 +174,31 @@
     assert_eq!(table.due_writes(1_000, std::slice::from_ref(&service), |_| Some(2)).len(), 1);
 }
 
+/// A process that was killed before its predecessor had stopped acted as owner beside it.
+#[test]
+fn a_restarted_process_waits_for_a_former_holder_that_may_be_active() {
+    let service: Name = "dispatch".into();
+    let services = std::slice::from_ref(&service);
+    let mut killed = LeaseTable::new(identity(1));
+    killed.accept_offer(1_000, &service, record(0, 5), 12);
+    let write = killed.due_writes(1_000, services, |_| Some(0)).pop().expect("a write is due");
+    let mut restarted = identity(1);
+    restarted.incarnation = 77;
+    let mut table = LeaseTable::new(restarted.clone());
+    table.observe(1_300, &service, Some(write.record.clone()), 13);
+    table.confirm(1_300 + LEASE_MS, &service);
+    assert_eq!(table.due_writes(1_300 + LEASE_MS, services, |_| Some(0)), []);
+    table.confirm(1_600 + LEASE_MS, &service);
+    assert_eq!(table.due_writes(1_600 + LEASE_MS, services, |_| Some(0)).len(), 1);
+    // Once the former holder has stopped, the record says so.
+    killed.observe(1_010, &service, Some(write.record), 13);
+    killed.activate(&service);
+    let renewal = killed.due_writes(1_200, services, |_| Some(0)).pop().expect("a write is due");
+    let mut table = LeaseTable::new(restarted);
+    table.observe(1_300, &service, Some(renewal.record), 14);
+    assert_eq!(table.due_writes(1_300, services, |_| Some(0)).len(), 1);
+}
+
 #[test]
 fn a_process_on_another_host_waits_until_the_lease_has_expired() {
     let service: Name = "dispatch".into();
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -12,6 +12,7 @@
 mod extreme_values;
 mod failovers;
 mod forged_lines;
+mod lease_handovers;
 mod leases;
 mod member_choices;
 mod member_lists;
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -457,6 +457,43 @@
     stop.await.expect("the host stops");
 }
 
+/// A successor that was killed while the former owner ended a transaction served reads, as owner, that
+/// lacked the commit of that transaction.
+#[tokio::test]
+async fn a_restarted_successor_does_not_act_beside_the_former_owner() {
+    let mut cluster = TestCluster::start(2).await;
+    cluster.wait_until_serving(1).await;
+    // Longer than it takes until the hosts know of each other.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let owner = cluster.owner().expect("a host owns the service");
+    let other = 1 - owner;
+    let mut session = cluster.open(owner, "bookings");
+    run(&mut session, "b1", "BEGIN").await.expect("begun");
+    run(&mut session, "w1", "STORE a 1").await.expect("written");
+    cluster.group.stall_replication("m3");
+    let stopping = cluster.hosts[owner].node.clone();
+    let stop = tokio::spawn(async move { stopping.shut_down().await });
+    let started = Instant::now();
+    while cluster.store.lease_holder("dispatch") != Some(format!("host-{other}")) {
+        assert!(started.elapsed() < Duration::from_secs(2), "no host took the lease over");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    cluster.restart_host(other).await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    assert!(!stop.is_finished(), "the former owner has stopped too soon");
+    assert_ne!(cluster.owner(), Some(other), "two hosts act as owner");
+    let committed = run(&mut session, "c1", "COMMIT").await.expect("committed");
+    cluster.wait_until_serving(other).await;
+    // Longer than the staleness bound of the lookups.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let mut reader = cluster.open(other, "lookups");
+    for number in 0..30 {
+        let read = run(&mut reader, &format!("r{number}"), "FETCH a").await.expect("read");
+        assert!(read.position >= committed.position, "a read lacked the commit: {read:?}");
+    }
+    stop.await.expect("the host stops");
+}
+
 #[tokio::test]
 async fn a_tenant_is_refused_beyond_its_rate_with_the_time_until_a_retry() {
     let cluster = TestCluster::start(1).await;
--- a/core/tests/core/stand_in_store.rs
+++ b/core/tests/core/stand_in_store.rs
@@ -10,6 +10,7 @@
 
 use snipehead_core::clock::now_ms;
 use snipehead_core::configuration::Configuration;
+use snipehead_core::lease_table::LeaseRecord;
 use snipehead_core::member::MemberEntry;
 use snipehead_core::store::MetadataStore;
 use snipehead_core::store::Record;
@@ -56,6 +57,15 @@
         self.state.lock().expect("the mutex is not poisoned").members = members;
     }
 
+    /// Returns the host that holds the lease of a service.
+    pub fn lease_holder(&self, service: &str) -> Option<String> {
+        let state = self.state.lock().expect("the mutex is not poisoned");
+        let record = state.records.get(&format!("lease/{service}"))?;
+        let lease: LeaseRecord =
+            serde_json::from_slice(&record.value).expect("the lease can be decoded");
+        Some(lease.holder.to_string())
+    }
+
     fn state(&self) -> Result<std::sync::MutexGuard<'_, StoreState>, StoreError> {
         match self.is_down.load(Ordering::Acquire) {
             true => Err(StoreError::NotDone("the store is down".to_owned())),
