--- a/core/src/commit_history.rs
+++ b/core/src/commit_history.rs
@@ -69,6 +69,17 @@
         self.newest
     }
 
+    /// Returns a position that all reads must include: that of the primary when it was adopted, or a
+    /// later one.
+    pub fn base(&self) -> LogPosition {
+        self.base
+    }
+
+    /// Returns the newest position that was acknowledged under this primary, if any was.
+    pub fn acknowledged(&self) -> Option<LogPosition> {
+        self.entries.back().map(|(_, position)| *position)
+    }
+
     /// Returns the position that a read with this staleness bound must include.
     pub fn floor(&self, now_ms: u64, max_staleness_ms: u64) -> LogPosition {
         let Some(horizon_ms) = now_ms.checked_sub(max_staleness_ms) else {
--- a/core/src/commit_protection.rs
+++ b/core/src/commit_protection.rs
@@ -1,7 +1,9 @@
-//! Decides whether a successor that lacks acknowledged commits may be promoted. Performs no input or
-//! output.
+//! Chooses the member that replaces a lost primary, and decides whether it may be promoted although it
+//! may lack acknowledged commits. Performs no input or output.
 
+use crate::failover::MemberView;
 use crate::log_position::LogPosition;
+use crate::member::MemberKey;
 use crate::name::Name;
 
 /// Acknowledged commits that a promoted member lacks.
@@ -23,42 +25,139 @@
     }
 }
 
-/// What a successor's log means for its promotion.
+/// What is known of the acknowledged commits of a service without a primary.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CommitEvidence {
+    /// Newest position that this owner has acknowledged under the last primary, if it has any.
+    pub acknowledged: Option<LogPosition>,
+    /// Position of the last primary when this owner adopted it; `None` if it has served no primary. Not
+    /// all of it need have been acknowledged.
+    pub adopted: Option<LogPosition>,
+    /// Number of replicas that have received a commit before the primary acknowledges it.
+    pub sync_replicas: usize,
+    /// Primary that was last served, by this owner or a former one.
+    pub former_primary: Option<Name>,
+    /// Time from which on a report of a log is later than the last acknowledged commit, in
+    /// milliseconds.
+    pub read_since_ms: u64,
+}
+
+impl CommitEvidence {
+    /// Returns whether a member answers and has reported its log since the last commit.
+    fn is_read(&self, member: &MemberView) -> bool {
+        member.answers() && member.position_at_ms >= self.read_since_ms
+    }
+
+    /// Returns the newest position that a successor should have.
+    fn needed(&self) -> Option<LogPosition> {
+        self.acknowledged.max(self.adopted)
+    }
+
+    /// Returns whether a member that has reported its log is known to have every acknowledged commit.
+    ///
+    /// An owner that has acknowledged nothing itself may know that by the number of logs: each
+    /// acknowledged commit is in those of the primary and of `sync_replicas` others, so the newest log
+    /// has it if fewer than that have not been read. Without synchronous replicas an owner that has
+    /// served no primary can know nothing.
+    pub fn is_complete(&self, members: &[MemberView], member: &MemberView) -> bool {
+        if self.needed().is_some_and(|needed| member.position >= needed) {
+            return true;
+        }
+        match self.sync_replicas {
+            0 => self.needed().is_none(),
+            _ => self.acknowledged.is_none() && self.is_newest_of_enough(members, member),
+        }
+    }
+
+    /// Returns whether a member has the newest of so many logs that none which was not read can have
+    /// more of the acknowledged commits. An empty log counts as not read: that of a member which
+    /// started anew is empty whatever it had received.
+    fn is_newest_of_enough(&self, members: &[MemberView], member: &MemberView) -> bool {
+        let (read, unread): (Vec<&MemberView>, Vec<&MemberView>) = members
+            .iter()
+            .filter(|view| Some(&view.key.id) != self.former_primary.as_ref())
+            .partition(|view| self.is_read(view) && view.position != LogPosition::default());
+        let newest = read.into_iter().map(MemberView::log).max();
+        unread.len() < self.sync_replicas && newest.is_some_and(|newest| member.log() >= newest)
+    }
+}
+
+/// What to do about a primary that is lost.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// It has every acknowledged commit that this owner knows of.
-    Complete,
-    /// It lacks some: wait for it to receive them, or for the primary to return.
+    /// Promote this member, which has every acknowledged commit that is known of.
+    Complete(MemberKey),
+    /// Wait for a member that is known to have them: one that returns or answers, or the primary.
     Wait,
-    /// It lacks some, and the wait is over.
-    Incomplete(CommitLoss),
+    /// Promote this member, which lacks some: the wait is over, or no listed member has them.
+    Incomplete(MemberKey, CommitLoss),
+    /// No member that may stay in the service answers.
+    Nobody,
 }
 
-/// Waits for a successor that has all acknowledged commits, up to a limit, while a primary is lost.
+/// Chooses the successor of a lost primary. Without synchronous replicas it waits up to a limit for
+/// one that has all acknowledged commits, with them for as long as a listed member may have them.
 #[derive(Debug, Default)]
 pub struct CommitProtection {
     waiting_since_ms: Option<u64>,
+    /// Whether the wait ends only when a member that may have the commits answers or has left.
+    is_unlimited: bool,
 }
 
 impl CommitProtection {
-    /// Judges the best successor. `acknowledged` is the newest position that this owner has
-    /// acknowledged, or `None` if it has served no primary. The limit counts from the first check
-    /// since the last call of [`Self::end_wait`].
-    pub fn check(
+    /// Chooses among the members other than `primary`, the one that is lost. The limit counts from the
+    /// first call without an immediate choice since the last call of [`Self::end_wait`].
+    ///
+    /// A member that must leave is chosen only if no other one has the commits: it gets no work as
+    /// primary, and its role is moved on at once.
+    pub fn choose(
         &mut self,
         now_ms: u64,
         limit_ms: u64,
-        acknowledged: Option<LogPosition>,
-        member: &Name,
-        held: LogPosition,
+        evidence: &CommitEvidence,
+        members: &[MemberView],
+        primary: Option<&MemberKey>,
     ) -> Verdict {
-        let Some(acknowledged) = acknowledged.filter(|acknowledged| held < *acknowledged) else {
-            return Verdict::Complete;
+        let read = || {
+            let others = members.iter().filter(|member| Some(&member.key) != primary);
+            others.filter(|member| evidence.is_read(member))
         };
+        if read().all(|member| member.must_leave) {
+            return Verdict::Nobody;
+        }
+        let complete =
+            read().filter(|member| evidence.is_complete(members, member)).max_by_key(|member| {
+                let may_stay = !member.must_leave;
+                (may_stay, !member.is_unpromotable, member.log(), member.is_replica())
+            });
+        if let Some(member) = complete.filter(|member| !member.is_unpromotable) {
+            self.is_unlimited = false;
+            return Verdict::Complete(member.key.clone());
+        }
         let since_ms = *self.waiting_since_ms.get_or_insert(now_ms);
-        match now_ms.saturating_sub(since_ms) < limit_ms {
-            true => Verdict::Wait,
-            false => Verdict::Incomplete(CommitLoss { member: member.clone(), acknowledged, held }),
+        let is_over = match evidence.sync_replicas {
+            0 => now_ms.saturating_sub(since_ms) >= limit_ms,
+            _ => complete.is_none() && members.iter().all(|member| evidence.is_read(member)),
+        };
+        self.is_unlimited = !is_over && complete.is_none() && evidence.sync_replicas > 0;
+        if !is_over {
+            return complete.map_or(Verdict::Wait, |member| Verdict::Complete(member.key.clone()));
+        }
+        let preference =
+            |member: &&MemberView| (member.log(), !member.must_leave, member.is_replica());
+        let promotable = || read().filter(|member| !member.is_unpromotable);
+        let best = match promotable().all(|member| member.must_leave) {
+            true => read().max_by_key(preference),
+            false => promotable().max_by_key(preference),
+        };
+        let Some(best) = best else { return Verdict::Nobody };
+        let acknowledged = evidence.needed().filter(|position| best.position < *position);
+        match acknowledged {
+            None => Verdict::Complete(best.key.clone()),
+            Some(acknowledged) => {
+                let (member, held) = (best.key.id.clone(), best.position);
+                Verdict::Incomplete(best.key.clone(), CommitLoss { member, acknowledged, held })
+            }
         }
     }
 
@@ -67,8 +166,14 @@
         self.waiting_since_ms.is_some()
     }
 
+    /// Returns whether a wait has begun that no time ends.
+    pub fn is_unlimited(&self) -> bool {
+        self.is_unlimited
+    }
+
     /// Ends the wait, since a primary serves again.
     pub fn end_wait(&mut self) {
         self.waiting_since_ms = None;
+        self.is_unlimited = false;
     }
 }
--- a/core/src/configuration.rs
+++ b/core/src/configuration.rs
@@ -67,6 +67,8 @@
     pub max_connections: usize,
     /// Most statements per second that a member gets during its warm-up; 0 for no limit.
     pub cold_per_s: f64,
+    /// Number of replicas that receive a commit before the primary acknowledges it.
+    pub sync_replicas: usize,
 }
 
 /// One version of the configuration, with the data centres that operators have evacuated.
--- a/core/src/configuration_difference.rs
+++ b/core/src/configuration_difference.rs
@@ -93,6 +93,7 @@
     Fields::from([
         ("connections", service.max_connections.to_string()),
         ("rate of a cold member", format!("{}/s", service.cold_per_s)),
+        ("synchronous replicas", service.sync_replicas.to_string()),
     ])
 }
 
--- a/core/src/failover.rs
+++ b/core/src/failover.rs
@@ -38,6 +38,26 @@
     pub is_unpromotable: bool,
 }
 
+impl MemberView {
+    /// Returns whether the member answers and has reported its replication state.
+    pub fn answers(&self) -> bool {
+        self.failing_since_ms.is_none() && self.status.is_some()
+    }
+
+    /// Returns the newest term that the member follows, and its log position. A log is newer than
+    /// another one if this is greater.
+    pub fn log(&self) -> (u64, LogPosition) {
+        let held_term = self.status.map_or(0, |status| status.term);
+        (held_term.max(self.position.term), self.position)
+    }
+
+    /// Returns whether the member reports that it is a replica. An order may have no effect for a
+    /// former primary, so a replica with the same log is preferred.
+    pub fn is_replica(&self) -> bool {
+        self.status.is_some_and(|status| !status.is_primary)
+    }
+}
+
 /// What to do about a service's primary.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -48,8 +68,8 @@
     /// Probe the members before a choice: some have not reported their log since the primary was last
     /// known to lead, and may have received more, or a newer term, since.
     Probe,
-    /// Promote this member in place of a primary that this node does not reach, unless another
-    /// node reaches that primary.
+    /// Replace a primary that this node does not reach, unless another node reaches that primary.
+    /// Of the members that may stay in the service, this one has the newest log.
     Replace(MemberKey),
     /// Promote this member, once it has caught up, in place of a primary that must leave.
     Move(MemberKey),
@@ -63,6 +83,18 @@
     status.is_some_and(|status| status.is_primary && status.term > used_term)
 }
 
+/// Returns since when the primary in use is not known to lead. Logs are compared by reports from then
+/// on.
+pub fn leaderless_since_ms(
+    known: Option<&MemberKey>,
+    without_primary_since_ms: u64,
+    members: &[MemberView],
+) -> u64 {
+    let primary = known.and_then(|key| members.iter().find(|member| member.key == *key));
+    let failing_since_ms = primary.and_then(|member| member.failing_since_ms);
+    failing_since_ms.unwrap_or(without_primary_since_ms)
+}
+
 /// Decides what to do about the primary of a service. `known` is the primary in use,
 /// `without_primary_since_ms` the time since which there has been none, and `min_term` the newest term
 /// that an owner has served or has ordered a promotion for: a member that leads an older term has
@@ -92,8 +124,7 @@
         return successor(members, Some(&leader.key)).map_or(Decision::Keep, Decision::Move);
     }
     let suspect = known.and_then(|key| members.iter().find(|member| member.key == *key));
-    let failing_since_ms = suspect.and_then(|member| member.failing_since_ms);
-    let leaderless_since_ms = failing_since_ms.unwrap_or(without_primary_since_ms);
+    let leaderless_since_ms = leaderless_since_ms(known, without_primary_since_ms, members);
     let is_limit_reached = match suspect {
         Some(member) => match member.failing_since_ms {
             Some(since_ms) => {
@@ -111,8 +142,8 @@
         return Decision::Keep;
     }
     let current = suspect.map(|member| &member.key);
-    let mut candidates = candidates(members, current);
-    if candidates.any(|member| member.position_at_ms < leaderless_since_ms) {
+    let mut others = members.iter().filter(|member| Some(&member.key) != current);
+    if others.any(|member| member.answers() && member.position_at_ms < leaderless_since_ms) {
         return Decision::Probe;
     }
     successor(members, current).map_or(Decision::Keep, Decision::Replace)
@@ -126,18 +157,11 @@
     members
         .iter()
         .filter(move |member| Some(&member.key) != except && !member.must_leave)
-        .filter(|member| member.failing_since_ms.is_none() && member.status.is_some())
+        .filter(|member| member.answers())
 }
 
-/// Returns the candidate with the newest log: the one that follows the newest term, and of these the
-/// one with the newest position. One whose promotion had no effect is the last choice. A replica is
-/// preferred to a former primary with the same log, for which an order may have no effect.
+/// Returns the candidate with the newest log. One whose promotion had no effect is the last choice.
 fn successor(members: &[MemberView], except: Option<&MemberKey>) -> Option<MemberKey> {
-    let rank = |member: &&MemberView| {
-        let held_term = member.status.map_or(0, |status| status.term);
-        let term = held_term.max(member.position.term);
-        let is_replica = member.status.is_some_and(|status| !status.is_primary);
-        (!member.is_unpromotable, term, member.position, is_replica)
-    };
+    let rank = |member: &&MemberView| (!member.is_unpromotable, member.log(), member.is_replica());
     candidates(members, except).max_by_key(rank).map(|member| member.key.clone())
 }
--- a/core/src/service/admission_control.rs
+++ b/core/src/service/admission_control.rs
@@ -13,6 +13,10 @@
 use crate::service::runner::refusal_reply;
 use crate::sync::lock;
 
+/// Time after which a caller may try again while the service waits for a member with the acknowledged
+/// commits, in milliseconds: members that return do so within seconds.
+const COMMIT_WAIT_RETRY_MS: u64 = 1_000;
+
 /// Why a statement got no slot.
 pub(super) enum AcquireError {
     /// No slot can become free in time, or none did.
@@ -46,7 +50,17 @@
 impl OwnedService {
     /// Refuses a call whose statement could not be served in time.
     pub(super) fn check_admission(&self, timed: &TimedCall) -> Option<CallReply> {
-        let (target, _) = self.slot_target(&timed.call, None, false)?;
+        let target = self.slot_target(&timed.call, None, false);
+        let needs_primary =
+            target.as_ref().is_none_or(|(target, _)| *target == SlotTarget::Primary);
+        if needs_primary && lock(&self.state).commit_protection.is_unlimited() {
+            let detail = format!(
+                "no member that answers is known to have every acknowledged commit; \
+                 retry after {COMMIT_WAIT_RETRY_MS} ms"
+            );
+            return Some(refusal_reply(Failure::Busy, &detail));
+        }
+        let (target, _) = target?;
         let request = timed.slot_request(target);
         let checked = lock(&self.pool).check_admission(now_ms(), &request, timed.arrival());
         checked.map(|refusal| self.refused_reply(timed, refusal))
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -8,6 +8,7 @@
 use crate::failover::Decision;
 use crate::failover::MemberView;
 use crate::failover::decide;
+use crate::failover::leaderless_since_ms;
 use crate::failover::leads_newer_term;
 use crate::member::MemberEntry;
 use crate::member::MemberKey;
@@ -121,7 +122,7 @@
                 self.probe(&mut probe_connections, due).await;
                 self.dispatch();
             }
-            if self.resume_promotion(&mut probe_connections).await {
+            if self.resume_promotion(&mut probe_connections, without_primary_since_ms).await {
                 continue;
             }
             let (primary, mut views) = self.member_views();
@@ -139,6 +140,8 @@
                 let known = primary.as_ref();
                 decide(now_ms(), known, without_primary_since_ms, min_term, views)
             };
+            let read_since_ms =
+                leaderless_since_ms(primary.as_ref(), without_primary_since_ms, &views);
             let mut decision = choose(&views);
             probing_since_ms =
                 (decision == Decision::Probe).then(|| probing_since_ms.unwrap_or_else(now_ms));
@@ -161,8 +164,9 @@
                         self.record_primary_in_use().await;
                     }
                 }
-                Decision::Replace(successor) => {
-                    self.replace_primary(&mut probe_connections, primary.as_ref(), successor).await;
+                Decision::Replace(_) => {
+                    self.replace_primary(&mut probe_connections, primary.as_ref(), read_since_ms)
+                        .await;
                     if lock(&self.state).commit_protection.is_waiting() {
                         self.probe_all(&mut probe_connections).await;
                     }
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -5,7 +5,9 @@
 
 use crate::clock::now_ms;
 use crate::commit_history::CommitHistory;
+use crate::commit_protection::CommitEvidence;
 use crate::commit_protection::Verdict;
+use crate::failover::MemberView;
 use crate::member::MemberCommand;
 use crate::member::MemberEntry;
 use crate::member::MemberKey;
@@ -167,7 +169,7 @@
         self: &Arc<Self>,
         probe_connections: &mut ProbeConnections,
         primary: Option<&MemberKey>,
-        successor: MemberKey,
+        read_since_ms: u64,
     ) {
         if !lock(&self.succession).may_order(now_ms()) {
             return;
@@ -184,37 +186,65 @@
                 return;
             }
         }
-        if !self.has_valid_lease() || !self.may_promote(&successor) {
+        if !self.has_valid_lease() {
             return;
         }
+        let Some(successor) = self.choose_successor(primary, read_since_ms) else { return };
         self.use_primary(None);
         self.promote(probe_connections, primary, &successor).await;
     }
 
-    /// Returns whether a successor of a lost primary may be promoted now, although it may lack
-    /// acknowledged commits. The caller probes the members again if not.
-    fn may_promote(&self, successor: &MemberKey) -> bool {
-        let held = lock(&self.pool).members().get(successor).map(|member| member.position);
-        let held = held.unwrap_or_default();
-        let mut state = lock(&self.state);
-        let acknowledged = state.history.as_ref().map(CommitHistory::newest);
+    /// Returns the successor of a lost primary that may be promoted now. If there is none, the caller
+    /// probes the members again.
+    fn choose_successor(
+        &self,
+        primary: Option<&MemberKey>,
+        read_since_ms: u64,
+    ) -> Option<MemberKey> {
+        let (_, views) = self.member_views();
+        let evidence = self.commit_evidence(read_since_ms);
         let limit_ms = self.context.promotion_wait_ms;
+        let mut state = lock(&self.state);
         let was_waiting = state.commit_protection.is_waiting();
         let verdict =
-            state.commit_protection.check(now_ms(), limit_ms, acknowledged, &successor.id, held);
-        state.pending_loss = match &verdict {
-            Verdict::Incomplete(loss) => Some(loss.clone()),
-            Verdict::Complete | Verdict::Wait => None,
+            state.commit_protection.choose(now_ms(), limit_ms, &evidence, &views, primary);
+        let (successor, loss) = match &verdict {
+            Verdict::Complete(successor) => (Some(successor.clone()), None),
+            Verdict::Incomplete(successor, loss) => (Some(successor.clone()), Some(loss.clone())),
+            Verdict::Wait | Verdict::Nobody => (None, None),
         };
+        state.pending_loss = loss;
         drop(state);
         if verdict == Verdict::Wait && !was_waiting {
+            let logs = views.iter().map(|view| match view.answers() {
+                true => format!("{}={}", view.key.id, view.position),
+                false => format!("{}=unread", view.key.id),
+            });
             log::warn!(
                 event = "promotion_waits_for_commits", service = &*self.name,
-                member = &*successor.id, held = held.to_string(),
-                acknowledged = acknowledged.unwrap_or_default().to_string(), limit_ms = limit_ms; ""
+                logs = logs.collect::<Vec<_>>().join(","),
+                acknowledged = format!("{:?}", evidence.acknowledged),
+                adopted = format!("{:?}", evidence.adopted),
+                sync_replicas = evidence.sync_replicas, limit_ms = limit_ms; ""
             );
         }
-        verdict != Verdict::Wait
+        successor
+    }
+
+    /// Returns what is known of the acknowledged commits, for logs that were reported since
+    /// `read_since_ms`.
+    fn commit_evidence(&self, read_since_ms: u64) -> CommitEvidence {
+        let limits = self.context.configuration.known().and_then(|known| {
+            known.configuration.services.get(&self.name).map(|limits| limits.sync_replicas)
+        });
+        let state = lock(&self.state);
+        CommitEvidence {
+            acknowledged: state.history.as_ref().and_then(CommitHistory::acknowledged),
+            adopted: state.history.as_ref().map(CommitHistory::base),
+            sync_replicas: limits.unwrap_or(0),
+            former_primary: self.leadership().primary,
+            read_since_ms,
+        }
     }
 
     /// Returns the primary in use, or else the recorded one, if this node does not reach it.
@@ -455,6 +485,7 @@
     pub(super) async fn resume_promotion(
         self: &Arc<Self>,
         probe_connections: &mut ProbeConnections,
+        read_since_ms: u64,
     ) -> bool {
         let (primary, views) = self.member_views();
         let (leadership, is_confirmed, step) = {
@@ -473,6 +504,9 @@
             }
             PendingStep::Order(key) => key,
         };
+        if !self.is_known_complete(&key, &views, read_since_ms) {
+            return false;
+        }
         let term = leadership.min_pending_term();
         // A later owner must find the order that is given now.
         if !is_confirmed && !self.record_leadership(leadership).await {
@@ -490,6 +524,17 @@
         true
     }
 
+    /// Returns whether a member is known to have every acknowledged commit, where the service has
+    /// synchronous replicas; elsewhere nothing is required of it.
+    fn is_known_complete(&self, key: &MemberKey, views: &[MemberView], read_since_ms: u64) -> bool {
+        let evidence = self.commit_evidence(read_since_ms);
+        evidence.sync_replicas == 0
+            || views
+                .iter()
+                .find(|view| view.key == *key)
+                .is_some_and(|view| evidence.is_complete(views, view))
+    }
+
     async fn demote_former_primary(self: Arc<Self>, former: MemberEntry, term: u64) {
         let sending = async {
             let connected = self.context.connector.connect(&former, SYSTEM_TENANT).await?;
--- a/core/tests/core/commit_protections.rs
+++ b/core/tests/core/commit_protections.rs
@@ -1,20 +1,43 @@
 //! Promotions while no member that answers has every acknowledged commit.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use proptest::prelude::*;
 
 use crate::test_cluster::PROMOTION_WAIT_MS;
 use crate::test_cluster::TestCluster;
 use crate::test_cluster::run;
+use snipehead_core::commit_protection::CommitEvidence;
 use snipehead_core::commit_protection::CommitLoss;
 use snipehead_core::commit_protection::CommitProtection;
 use snipehead_core::commit_protection::Verdict;
+use snipehead_core::failover::MemberView;
 use snipehead_core::failover::REFUSED_LIMIT_MS;
+use snipehead_core::failover::SILENT_LIMIT_MS;
 use snipehead_core::log_position::LogPosition;
+use snipehead_core::member::MemberKey;
+use snipehead_core::member::MemberStatus;
+use snipehead_core::outcome::Failure;
 
 const LIMIT_MS: u64 = 1_000;
 
+const POSITION: LogPosition = LogPosition { term: 1, position: 9 };
+
+fn view(number: u64, position: LogPosition) -> MemberView {
+    MemberView {
+        key: MemberKey { id: format!("m{number}").into(), incarnation: 1 },
+        must_leave: false,
+        failing_since_ms: None,
+        is_refused: false,
+        status: Some(MemberStatus { is_primary: false, term: position.term, position }),
+        position,
+        position_at_ms: 1_000_000,
+        is_unpromotable: false,
+    }
+}
+
 /// An event while a primary is lost.
 #[derive(Clone, Debug)]
 enum Event {
@@ -44,7 +67,6 @@
         lag in 0..4_u64,
         schedule in events(),
     ) {
-        let member = "m2".into();
         let mut protection = CommitProtection::default();
         let mut acknowledged = LogPosition::new(1, 10);
         let mut held = LogPosition::new(1, 10 - lag);
@@ -63,21 +85,24 @@
                 }
                 Event::Check { after_ms } => {
                     now_ms += after_ms;
-                    let verdict =
-                        protection.check(now_ms, LIMIT_MS, Some(acknowledged), &member, held);
+                    let evidence =
+                        CommitEvidence { acknowledged: Some(acknowledged), ..Default::default() };
+                    let successor = view(2, held);
+                    let member = successor.key.clone();
+                    let members = [successor];
+                    let verdict = protection.choose(now_ms, LIMIT_MS, &evidence, &members, None);
                     let is_complete = held >= acknowledged;
                     let since_ms = match is_complete {
                         true => lost_since_ms.unwrap_or(now_ms),
                         false => *lost_since_ms.get_or_insert(now_ms),
                     };
                     let expected = match (is_complete, now_ms - since_ms < LIMIT_MS) {
-                        (true, _) => Verdict::Complete,
+                        (true, _) => Verdict::Complete(member),
                         (false, true) => Verdict::Wait,
-                        (false, false) => Verdict::Incomplete(CommitLoss {
-                            member: member.clone(),
-                            acknowledged,
-                            held,
-                        }),
+                        (false, false) => {
+                            let loss = CommitLoss { member: member.id.clone(), acknowledged, held };
+                            Verdict::Incomplete(member, loss)
+                        }
                     };
                     prop_assert_eq!(verdict, expected);
                 }
@@ -87,14 +112,35 @@
 }
 
 #[test]
-fn an_owner_that_has_served_no_primary_does_not_wait() {
+fn an_owner_that_has_served_no_primary_does_not_wait_without_synchronous_replicas() {
     let mut protection = CommitProtection::default();
-    let held = LogPosition::new(1, 5);
-    let verdict = protection.check(0, LIMIT_MS, None, &"m2".into(), held);
-    assert_eq!(verdict, Verdict::Complete);
+    let members = [view(2, LogPosition::new(1, 5))];
+    let verdict = protection.choose(0, LIMIT_MS, &CommitEvidence::default(), &members, None);
+    assert_eq!(verdict, Verdict::Complete(members[0].key.clone()));
     assert!(!protection.is_waiting());
 }
 
+/// A new owner, whose predecessor had died with the primary, took the only log that it read for complete.
+#[test]
+fn an_owner_that_has_served_no_primary_counts_the_logs_of_synchronous_replicas() {
+    let mut protection = CommitProtection::default();
+    let evidence = CommitEvidence {
+        sync_replicas: 1,
+        former_primary: Some("m1".into()),
+        ..CommitEvidence::default()
+    };
+    let silent = |number| MemberView { failing_since_ms: Some(1), ..view(number, POSITION) };
+    let mut members = [silent(1), silent(2), view(3, LogPosition::new(1, 5))];
+    let mut choose = |members: &[MemberView]| {
+        protection.choose(9 * LIMIT_MS, LIMIT_MS, &evidence, members, None)
+    };
+    assert_eq!(choose(&members), Verdict::Wait);
+    members[1] = view(2, POSITION);
+    assert_eq!(choose(&members), Verdict::Complete(members[1].key.clone()));
+    // The second member has left the service.
+    assert_eq!(choose(&[silent(1), members[2].clone()]), Verdict::Complete(members[2].key.clone()));
+}
+
 /// Starts a cluster in which only the primary has the last acknowledged write, and stops the primary.
 async fn lose_primary_with_newest_write() -> TestCluster {
     let cluster = TestCluster::start(1).await;
@@ -140,3 +186,75 @@
     let metrics = cluster.hosts[0].node.render_metrics();
     assert!(!metrics.contains("commits_lost"), "{metrics}");
 }
+
+/// Starts a cluster with one synchronous replica, in which the second member has every acknowledged
+/// write and the third one none.
+async fn start_with_one_complete_replica() -> TestCluster {
+    let cluster = TestCluster::start(1).await;
+    cluster.set_sync_replicas(1).await;
+    cluster.group.stall_replication("m3");
+    let mut session = cluster.open(0, "bookings");
+    for number in 0..5 {
+        run(&mut session, &format!("w{number}"), "STORE a 1").await.expect("written");
+    }
+    cluster
+}
+
+/// Waits for longer than a promotion without synchronous replicas would.
+async fn lose_primary(cluster: &TestCluster) {
+    cluster.group.set_up("m1", false);
+    tokio::time::sleep(Duration::from_millis(SILENT_LIMIT_MS + 3 * PROMOTION_WAIT_MS)).await;
+}
+
+/// A draining replica that had every acknowledged write was left out, and one that lacked them promoted.
+#[tokio::test]
+async fn a_draining_replica_with_the_log_leads_until_another_one_has_it() {
+    let cluster = start_with_one_complete_replica().await;
+    let mut entries = cluster.group.entries();
+    entries[1].is_draining = true;
+    cluster.store.set_members(entries);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    lose_primary(&cluster).await;
+    let ordered = cluster.group.promotions();
+    assert_eq!(ordered.iter().map(|(member, _)| &**member).collect::<Vec<_>>(), ["m2"]);
+    assert!(cluster.group.executed("m2").iter().all(|statement| !statement.contains("FETCH")));
+    cluster.group.recover("m3");
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m3"));
+}
+
+/// A replica for which an order had been refused was set aside, and one that lacked writes promoted.
+#[tokio::test]
+async fn a_refused_order_is_repeated_for_the_replica_with_the_log() {
+    let cluster = start_with_one_complete_replica().await;
+    cluster.group.are_orders_refused.store(true, Ordering::Release);
+    lose_primary(&cluster).await;
+    cluster.group.are_orders_refused.store(false, Ordering::Release);
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+    let ordered = cluster.group.promotions();
+    assert!(ordered.len() > 1, "the order was not repeated: {ordered:?}");
+    assert!(ordered.iter().all(|(member, _)| member == "m2"), "{ordered:?}");
+}
+
+/// With a synchronous replica that is lost together with the primary, the service waits for it.
+#[tokio::test]
+async fn no_replica_without_the_log_is_promoted_while_another_one_may_have_it() {
+    let cluster = start_with_one_complete_replica().await;
+    cluster.group.set_up("m2", false);
+    lose_primary(&cluster).await;
+    assert_eq!(cluster.group.promotions(), []);
+    let mut session = cluster.open(0, "bookings");
+    let started = Instant::now();
+    let refusal = run(&mut session, "w9", "STORE a 1").await.expect_err("there is no primary");
+    assert!(
+        started.elapsed() < Duration::from_millis(100),
+        "refused after {:?}",
+        started.elapsed()
+    );
+    assert_eq!(refusal.failure, Failure::Busy);
+    assert!(refusal.detail.contains("retry after 1000 ms"), "{}", refusal.detail);
+    cluster.group.set_up("m2", true);
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+}
--- a/core/tests/core/forged_lines.rs
+++ b/core/tests/core/forged_lines.rs
@@ -104,7 +104,12 @@
 async fn a_service_name_forges_no_line() {
     let cluster = TestCluster::start(1).await;
     cluster.store.change(|configuration| {
-        let limits = ServiceLimits { name: FORGED.into(), max_connections: 1, cold_per_s: 0.0 };
+        let limits = ServiceLimits {
+            name: FORGED.into(),
+            max_connections: 1,
+            cold_per_s: 0.0,
+            sync_replicas: 0,
+        };
         configuration.services.insert(FORGED.into(), limits.into());
     });
     tokio::time::sleep(Duration::from_millis(2_500)).await;
--- a/core/tests/core/main.rs
+++ b/core/tests/core/main.rs
@@ -4,6 +4,7 @@
 mod admissions;
 mod back_pressure;
 mod client_limits;
+mod commit_evidence;
 mod commit_histories;
 mod commit_protections;
 mod configurations;
--- a/core/tests/core/nodes.rs
+++ b/core/tests/core/nodes.rs
@@ -157,7 +157,12 @@
 async fn a_host_with_several_services_hands_some_over_to_hosts_with_none() {
     let mut cluster = TestCluster::start(1).await;
     cluster.store.change(|configuration| {
-        let limits = ServiceLimits { name: "empty".into(), max_connections: 9, cold_per_s: 0.0 };
+        let limits = ServiceLimits {
+            name: "empty".into(),
+            max_connections: 9,
+            cold_per_s: 0.0,
+            sync_replicas: 0,
+        };
         configuration.services.insert("empty".into(), Arc::new(limits));
     });
     let started = Instant::now();
--- a/core/tests/core/rates.rs
+++ b/core/tests/core/rates.rs
@@ -20,8 +20,12 @@
 
 fn configuration(services: &[&str]) -> Configuration {
     let tenant = Tenant { name: "families".into(), rate_per_s: RATE_PER_S, burst: BURST };
-    let limits =
-        |name: &str| ServiceLimits { name: name.into(), max_connections: 10, cold_per_s: 0.0 };
+    let limits = |name: &str| ServiceLimits {
+        name: name.into(),
+        max_connections: 10,
+        cold_per_s: 0.0,
+        sync_replicas: 0,
+    };
     Configuration {
         version: 1,
         services: services.iter().map(|name| ((*name).into(), Arc::new(limits(name)))).collect(),
--- a/core/tests/core/test_cluster.rs
+++ b/core/tests/core/test_cluster.rs
@@ -65,7 +65,12 @@
 }
 
 pub fn configuration() -> Configuration {
-    let limits = ServiceLimits { name: "dispatch".into(), max_connections: 20, cold_per_s: 0.0 };
+    let limits = ServiceLimits {
+        name: "dispatch".into(),
+        max_connections: 20,
+        cold_per_s: 0.0,
+        sync_replicas: 0,
+    };
     let tenant = Tenant { name: "families".into(), rate_per_s: 1_000.0, burst: 1_000.0 };
     let routes = [
         route("bookings", Consistency::Primary),
@@ -144,6 +149,16 @@
         Host { address, node, stop }
     }
 
+    /// Puts a configuration in force in which commits wait for this number of replicas.
+    pub async fn set_sync_replicas(&self, sync_replicas: usize) {
+        self.store.change(|present| {
+            for limits in present.services.values_mut() {
+                *limits = Arc::new(ServiceLimits { sync_replicas, ..(**limits).clone() });
+            }
+        });
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+    }
+
     pub fn session(&self, host: usize, database: &str) -> Result<Session, Failure> {
         let node = self.hosts[host].node.clone();
         Session::open(node, database.into(), "key".into()).map_err(|refusal| refusal.failure)
