--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -266,7 +266,9 @@
 /// Promotes members through the platform, which accepts orders from one node at a time.
 #[async_trait]
 pub trait MemberPromoter: Send + Sync {
-    /// Orders the promotion of a member to primary of a service.
+    /// Orders the promotion of a member to primary of a service. The order is sent only before
+    /// `send_before_ms`, a time of [`crate::clock::now_ms`], which is checked when nothing else is left
+    /// to wait for: the process may have been suspended since the caller looked at its lease.
     ///
     /// # Errors
     ///
@@ -276,5 +278,6 @@
         service: &str,
         member: &str,
         fencing_token: u64,
+        send_before_ms: u64,
     ) -> Result<(), PromotionError>;
 }
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -233,14 +233,19 @@
         self.valid_until_ms.store(valid_until_ms, Ordering::Release);
     }
 
+    /// Returns when the lease expires.
+    pub(super) fn valid_until_ms(&self) -> u64 {
+        self.valid_until_ms.load(Ordering::Acquire)
+    }
+
     /// Returns whether the lease is valid now.
     pub fn has_valid_lease(&self) -> bool {
-        now_ms() < self.valid_until_ms.load(Ordering::Acquire)
+        now_ms() < self.valid_until_ms()
     }
 
     /// Returns the time until the lease expires, in milliseconds.
     pub fn lease_left_ms(&self, now_ms: u64) -> u64 {
-        self.valid_until_ms.load(Ordering::Acquire).saturating_sub(now_ms)
+        self.valid_until_ms().saturating_sub(now_ms)
     }
 
     /// Records that the store answers this node.
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -415,8 +415,11 @@
         min_term: u64,
     ) -> PromotionResult {
         let held = self.status_of(successor).map(|status| status.position).unwrap_or_default();
-        let ordered =
-            self.context.promoter.promote(&self.name, &successor.id, self.fencing_token).await;
+        let ordered = self
+            .context
+            .promoter
+            .promote(&self.name, &successor.id, self.fencing_token, self.valid_until_ms())
+            .await;
         if let Err(error) = &ordered {
             log::warn!(
                 event = "promotion_unconfirmed", service = &*self.name, member = &*successor.id,
--- a/core/tests/core/primaries.rs
+++ b/core/tests/core/primaries.rs
@@ -10,6 +10,7 @@
 use crate::test_cluster::WAIT_LIMIT;
 use crate::test_cluster::failure;
 use crate::test_cluster::run;
+use snipehead_core::lease_table::LEASE_MS;
 use snipehead_core::outcome::Failure;
 
 #[tokio::test]
@@ -215,6 +216,26 @@
     assert_eq!(cluster.group.promotions().len(), 1);
 }
 
+/// An owner that was suspended between the look at its lease and the order sent it when another owner had
+/// ordered one, with a lower token.
+#[tokio::test]
+async fn no_promotion_is_ordered_once_the_lease_has_ended() {
+    let cluster = TestCluster::start(1).await;
+    cluster.group.order_delay_ms.store(LEASE_MS + 200, Ordering::Release);
+    let mut session = cluster.open(0, "bookings");
+    cluster.group.set_up("m1", false);
+    assert!(run(&mut session, "w1", "STORE a 1").await.is_err());
+    let started = Instant::now();
+    while cluster.group.orders_begun.load(Ordering::Acquire) == 0 {
+        assert!(started.elapsed() < WAIT_LIMIT, "no promotion is ordered");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // The lease is not renewed any more.
+    cluster.store.is_down.store(true, Ordering::Release);
+    tokio::time::sleep(Duration::from_millis(LEASE_MS + 500)).await;
+    assert_eq!(cluster.group.promotions(), []);
+}
+
 #[tokio::test]
 async fn a_draining_primary_is_replaced_and_steps_down() {
     let cluster = TestCluster::start(1).await;
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -13,6 +13,7 @@
 
 use async_trait::async_trait;
 
+use snipehead_core::clock::now_ms;
 use snipehead_core::log_position::LogPosition;
 use snipehead_core::member::CommandBody;
 use snipehead_core::member::IdleInput;
@@ -72,6 +73,10 @@
     pub are_orders_unanswered: AtomicBool,
     /// Whether orders to promote a member are refused.
     pub are_orders_refused: AtomicBool,
+    /// Time until an order is sent, as for a connection that opens late, in milliseconds.
+    pub order_delay_ms: AtomicU64,
+    /// Number of orders that were begun, whether or not they were sent.
+    pub orders_begun: AtomicU64,
     /// Time that a new connection takes, in milliseconds.
     pub connect_ms: AtomicU64,
 }
@@ -115,6 +120,8 @@
             promotion_ms: AtomicU64::new(0),
             are_orders_unanswered: AtomicBool::new(false),
             are_orders_refused: AtomicBool::new(false),
+            order_delay_ms: AtomicU64::new(0),
+            orders_begun: AtomicU64::new(0),
             connect_ms: AtomicU64::new(0),
         })
     }
@@ -475,7 +482,14 @@
         _: &str,
         member: &str,
         fencing_token: u64,
+        send_before_ms: u64,
     ) -> Result<(), PromotionError> {
+        self.0.orders_begun.fetch_add(1, Ordering::AcqRel);
+        let delay_ms = self.0.order_delay_ms.load(Ordering::Acquire);
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        if now_ms() >= send_before_ms {
+            return Err(PromotionError::NotDone("it is too late".to_owned()));
+        }
         let promotions = &self.0.promotions;
         promotions
             .lock()
