Name the handover in the notice that a former owner has stopped

Cause: the notice named the service only. One that arrives late, after further handovers, ended the wait of a later new owner while its own predecessor still acted. Found by reading and by the model; no run of processes showed it.

Change: the notice names the version of the lease record by which the offer was accepted, and has no effect for a lease that was acquired later.

The messages between daemons have a new layout.

--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -427,10 +427,13 @@
         self.leases.get(service).map(|lease| lease.leadership.clone()).unwrap_or_default()
     }
 
-    /// Records that the previous holder of an offered lease no longer acts as owner. The next write,
-    /// which is due at once, says so to other processes.
-    pub fn activate(&mut self, service: &Name) {
-        if let Some(lease) = self.leases.get_mut(service) {
+    /// Records that the previous holder of the lease, which this process holds since `version`, no
+    /// longer acts as owner. The next write, which is due at once, says so to other processes. A notice
+    /// of an earlier handover has no effect.
+    pub fn activate(&mut self, service: &Name, version: u64) {
+        if let Some(lease) = self.leases.get_mut(service)
+            && lease.acquired_version.is_some_and(|acquired| acquired <= version)
+        {
             lease.inactive_until_ms = 0;
             lease.next_write_at_ms = 0;
         }
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -377,7 +377,9 @@
     match &accepted_by {
         Some(owner) => {
             node.owner_directory.update(service, owner.clone());
-            if let Err(error) = node.peers.activate(owner.address, service.clone()).await {
+            if let Err(error) =
+                node.peers.activate(owner.address, service.clone(), owner.version).await
+            {
                 log::info!(
                     event = "new_owner_activation_failed", service = &**service,
                     new_owner = &*owner.node, error = error.to_string();
@@ -424,9 +426,10 @@
 }
 
 impl Node {
-    /// Activates this node's ownership of a service after the previous owner has closed it.
-    pub(crate) fn activate_ownership(self: &Arc<Self>, service: &Name) {
-        lock(&self.lease_table).activate(service);
+    /// Activates this node's ownership of a service after the previous owner has closed it. `version` is
+    /// that of the lease record by which this node accepted the offer.
+    pub(crate) fn activate_ownership(self: &Arc<Self>, service: &Name, version: u64) {
+        lock(&self.lease_table).activate(service, version);
         apply_lease_state(self);
     }
 
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -252,7 +252,7 @@
     /// Acquires a lease that its holder hands over. Returns the new owner if the node acquired it.
     async fn offer_lease(offer: LeaseOffer) -> Option<Owner>;
     /// Activates the node's ownership of a service after the previous owner has closed it.
-    async fn activate(service: Name);
+    async fn activate(service: Name, version: u64);
     /// Returns the metadata that the requesting node lacks, at once if there is any, or else when
     /// there is some or after a while; `None` if the node knows no configuration.
     async fn fetch_metadata(request: MetadataRequest) -> Option<MetadataUpdate>;
--- a/core/src/relay/client.rs
+++ b/core/src/relay/client.rs
@@ -293,9 +293,14 @@
     /// # Errors
     ///
     /// Returns why there is no answer.
-    pub async fn activate(&self, address: SocketAddr, service: Name) -> Result<(), RelayError> {
+    pub async fn activate(
+        &self,
+        address: SocketAddr,
+        service: Name,
+        version: u64,
+    ) -> Result<(), RelayError> {
         let client = self.client(address).await?;
-        let calling = client.activate(control_context(), service);
+        let calling = client.activate(control_context(), service, version);
         calling.await.map_err(|error| self.disconnect(address, &error))
     }
 
--- a/core/src/relay/server.rs
+++ b/core/src/relay/server.rs
@@ -110,8 +110,8 @@
         self.node.accept_offer(offer).await
     }
 
-    async fn activate(self, _: Context, service: Name) {
-        self.node.activate_ownership(&service);
+    async fn activate(self, _: Context, service: Name, version: u64) {
+        self.node.activate_ownership(&service, version);
     }
 
     async fn fetch_metadata(self, _: Context, request: MetadataRequest) -> Option<MetadataUpdate> {
--- a/core/tests/core/lease_handovers.rs
+++ b/core/tests/core/lease_handovers.rs
@@ -1,6 +1,8 @@
 //! Leases that are offered from process to process, under random schedules of processes that are
 //! killed and started again at their addresses, and of lost writes, answers and notices.
 
+use std::collections::VecDeque;
+
 use proptest::prelude::*;
 
 use snipehead_core::lease_table::Identity;
@@ -31,8 +33,10 @@
     Poll(usize, WriteFate),
     /// The process that acts as owner offers the lease to another one.
     Offer(usize, WriteFate),
-    /// A former owner that hands over has ended its transactions; the new one may be told.
-    Close { is_told: bool },
+    /// A former owner that hands over has ended its transactions. The notice of that may be late.
+    Close { is_late: bool },
+    /// The oldest late notice arrives.
+    Notice,
     /// A process is killed and starts again at its address.
     Restart(usize),
     /// Nothing happens for a number of steps.
@@ -50,7 +54,8 @@
     prop_oneof![
         12 => (0..PROCESSES, fate()).prop_map(|(process, fate)| Event::Poll(process, fate)),
         2 => (0..PROCESSES, fate()).prop_map(|(process, fate)| Event::Offer(process, fate)),
-        2 => any::<bool>().prop_map(|is_told| Event::Close { is_told }),
+        2 => any::<bool>().prop_map(|is_late| Event::Close { is_late }),
+        1 => Just(Event::Notice),
         1 => (0..PROCESSES).prop_map(Event::Restart),
         1 => (1..40_u64).prop_map(Event::Wait),
     ]
@@ -60,7 +65,13 @@
 struct Ending {
     process: usize,
     valid_until_ms: u64,
+    notice: Notice,
+}
+
+/// The notice to a new owner that its predecessor has stopped.
+struct Notice {
     new_owner: usize,
+    version: u64,
 }
 
 struct Model {
@@ -71,6 +82,7 @@
     record: Option<LeaseRecord>,
     version: u64,
     ending: Option<Ending>,
+    late_notices: VecDeque<Notice>,
 }
 
 impl Model {
@@ -83,6 +95,7 @@
             record: None,
             version: 10,
             ending: None,
+            late_notices: VecDeque::new(),
         };
         for process in 0..PROCESSES {
             let table = model.start(process);
@@ -159,11 +172,18 @@
         self.tables[process].set_renewal_paused(&self.service, true);
         self.tables[new_owner].accept_offer(self.now_ms, &self.service, record, version);
         match self.write_due(new_owner, fate) {
-            true => self.ending = Some(Ending { process, valid_until_ms, new_owner }),
+            true => {
+                let notice = Notice { new_owner, version: self.version };
+                self.ending = Some(Ending { process, valid_until_ms, notice });
+            }
             false => self.tables[process].set_renewal_paused(&self.service, false),
         }
     }
 
+    fn notify(&mut self, notice: &Notice) {
+        self.tables[notice.new_owner].activate(&self.service, notice.version);
+    }
+
     fn restart(&mut self, process: usize) {
         self.tables[process] = self.start(process);
         self.ending.take_if(|ending| ending.process == process);
@@ -177,11 +197,14 @@
                 self.write_due(*process, *fate);
             }
             Event::Offer(new_owner, fate) => self.offer(*new_owner, *fate),
-            Event::Close { is_told } => {
-                if let Some(ending) = self.ending.take()
-                    && *is_told
-                {
-                    self.tables[ending.new_owner].activate(&self.service);
+            Event::Close { is_late } => match self.ending.take() {
+                Some(ending) if *is_late => self.late_notices.push_back(ending.notice),
+                Some(ending) => self.notify(&ending.notice),
+                None => {}
+            },
+            Event::Notice => {
+                if let Some(notice) = self.late_notices.pop_front() {
+                    self.notify(&notice);
                 }
             }
             Event::Restart(process) => self.restart(*process),
--- a/core/tests/core/leases.rs
+++ b/core/tests/core/leases.rs
@@ -192,7 +192,7 @@
     assert_eq!(table.due_writes(1_600 + LEASE_MS, services, |_| Some(0)).len(), 1);
     // Once the former holder has stopped, the record says so.
     killed.observe(1_010, &service, Some(write.record), 13);
-    killed.activate(&service);
+    killed.activate(&service, 13);
     let renewal = killed.due_writes(1_200, services, |_| Some(0)).pop().expect("a write is due");
     let mut table = LeaseTable::new(restarted);
     table.observe(1_300, &service, Some(renewal.record), 14);
@@ -288,7 +288,7 @@
     };
     let mut table = acquire();
     assert_eq!(table.active_lease(1_020, &service), None);
-    table.activate(&service);
+    table.activate(&service, 13);
     assert!(table.active_lease(1_030, &service).is_some());
     let table = acquire();
     assert_eq!(table.active_lease(1_000 + LEASE_MS, &service), None);
