Record a term again where the store may have an older one

Cause: after a record that was taken back by a write without an answer, the store may have the former term while the owner still holds the pending one. The promoted member then served without a further record, and a later owner could have used the primary of the former term.

Change: the least term that the store may have is kept until a write is answered, and decides whether a term must be recorded before it serves.

Evidence: promotion_orders::a_term_is_recorded_again_if_the_store_may_have_an_older_one fails without it.

--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -154,11 +154,12 @@
 
     /// Records what the next owner must know about the primary. Returns whether it is stored.
     async fn record_leadership(&self, leadership: Leadership) -> bool {
+        let term = leadership.term;
         let is_recorded = self.context.node.record_leadership(&self.name, leadership.clone()).await;
         let mut succession = lock(&self.succession);
         match is_recorded {
             true => succession.set_recorded(leadership),
-            false => succession.set_unconfirmed(),
+            false => succession.set_unconfirmed(term),
         }
         is_recorded
     }
@@ -237,12 +238,14 @@
         let limits = self.context.configuration.known().and_then(|known| {
             known.configuration.services.get(&self.name).map(|limits| limits.sync_replicas)
         });
+        let former_primary = self.leadership().primary;
         let state = lock(&self.state);
+        let history = state.history.as_ref();
         CommitEvidence {
-            acknowledged: state.history.as_ref().and_then(CommitHistory::acknowledged),
-            adopted: state.history.as_ref().map(CommitHistory::base),
+            acknowledged: history.and_then(CommitHistory::acknowledged),
+            adopted: history.map(CommitHistory::base),
             sync_replicas: limits.unwrap_or(0),
-            former_primary: self.leadership().primary,
+            former_primary,
             read_since_ms,
         }
     }
--- a/core/src/succession.rs
+++ b/core/src/succession.rs
@@ -59,8 +59,8 @@
 #[derive(Debug, Default)]
 pub struct Succession {
     recorded: Leadership,
-    /// Whether the store is known to have `recorded`.
-    is_confirmed: bool,
+    /// Least term that the store may have in place of `recorded`, after a write without an answer.
+    unconfirmed_term: Option<u64>,
     served_term: u64,
     /// Time until which the last order may take effect, in milliseconds.
     order_open_until_ms: u64,
@@ -73,7 +73,7 @@
             Some(_) => now_ms.saturating_add(EFFECT_LIMIT_MS),
             None => 0,
         };
-        Self { recorded, is_confirmed: true, served_term: 0, order_open_until_ms }
+        Self { recorded, unconfirmed_term: None, served_term: 0, order_open_until_ms }
     }
 
     /// Returns what is stored in the lease.
@@ -84,17 +84,19 @@
     /// Records that the store has this in the lease.
     pub fn set_recorded(&mut self, recorded: Leadership) {
         self.recorded = recorded;
-        self.is_confirmed = true;
+        self.unconfirmed_term = None;
     }
 
-    /// Records that the store may have something else in the lease, since a write is unanswered.
-    pub fn set_unconfirmed(&mut self) {
-        self.is_confirmed = false;
+    /// Records that the store may have a record of another term in the lease, since the write of it got
+    /// no answer.
+    pub fn set_unconfirmed(&mut self, term: u64) {
+        let earlier = self.unconfirmed_term.unwrap_or(term);
+        self.unconfirmed_term = Some(earlier.min(term));
     }
 
     /// Returns whether the store is known to have what [`Self::recorded`] returns.
     pub fn is_confirmed(&self) -> bool {
-        self.is_confirmed
+        self.unconfirmed_term.is_none()
     }
 
     /// Records that the owner serves with the primary of a term. The last order has taken effect, or
@@ -114,8 +116,9 @@
     /// could use the primary of an earlier term, and this one would not use that of a pending
     /// promotion which began its term in place of an earlier order.
     pub fn must_record(&self, term: u64) -> bool {
+        let stored_term = self.unconfirmed_term.unwrap_or(u64::MAX).min(self.recorded.term);
         let is_below_open = self.recorded.pending_promotion.is_some() && term < self.recorded.term;
-        self.recorded.term < term || is_below_open
+        stored_term < term || is_below_open
     }
 
     /// Records that the call which orders a promotion has ended.
@@ -152,8 +155,7 @@
     /// repeated for a member that lacks what another replica has, as one that started anew does.
     pub fn pending_step(&self, now_ms: u64, members: &[MemberView]) -> PendingStep {
         let pending = self.recorded.pending_promotion.as_ref();
-        let answering =
-            |view: &&MemberView| view.failing_since_ms.is_none() && view.status.is_some();
+        let answering = |view: &&MemberView| view.answers();
         let member = members
             .iter()
             .filter(answering)
--- a/core/tests/core/promotion_orders.rs
+++ b/core/tests/core/promotion_orders.rs
@@ -175,7 +175,7 @@
         }
         match write {
             Write::Answered => self.succession.set_recorded(leadership),
-            Write::AnswerLost | Write::Dropped => self.succession.set_unconfirmed(),
+            Write::AnswerLost | Write::Dropped => self.succession.set_unconfirmed(leadership.term),
         }
         write == Write::Answered
     }
@@ -377,6 +377,20 @@
     }
 }
 
+/// Guards against a served term that a later owner does not find, after a record was taken back by a
+/// write whose answer was lost.
+#[test]
+fn a_term_is_recorded_again_if_the_store_may_have_an_older_one() {
+    let served = Leadership::served("m1".into(), 1);
+    let mut succession = Succession::new(START_MS, served.clone());
+    succession.set_recorded(succession.promotion_of(&"m2".into(), 1));
+    assert!(!succession.must_record(2));
+    succession.set_unconfirmed(served.term);
+    assert!(succession.must_record(2));
+    succession.set_recorded(Leadership::served("m2".into(), 2));
+    assert!(!succession.must_record(2));
+}
+
 #[rstest]
 #[case::silent(EFFECT_LIMIT_MS, None, OrderEffect::Open)]
 #[case::leads(300, Some((true, 2, 9)), OrderEffect::Taken)]
--- a/core/tests/core/successions.rs
+++ b/core/tests/core/successions.rs
@@ -119,7 +119,7 @@
         match write {
             Write::Answered => self.succession.set_recorded(leadership),
             Write::KilledBefore | Write::KilledAfter => self.kill(),
-            Write::AnswerLost | Write::Dropped => {}
+            Write::AnswerLost | Write::Dropped => self.succession.set_unconfirmed(leadership.term),
         }
         write == Write::Answered
     }
