--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""The store is down for 4.5 s, and the owner is restarted as planned meanwhile. When the store is
+"""The store is down for 4.4 s, and the owner is restarted as planned meanwhile. When the store is
 back, the entries of two members are still missing for 1.2 s."""
 
 import asyncio
@@ -12,10 +12,10 @@
 from stage import Stage
 from stage import play
 
-OUTAGE_S = 4.5
+OUTAGE_S = 4.4
 DEAF_AFTER_S = 0.3
 RESTART_AFTER_S = 1.0
-DEAF_S = 6.5
+DEAF_S = 6.4
 MISSING_S = 1.2
 
 
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,5 +1,5 @@
-"""The primary is lost for good, and its successor crashes for 7 s, while the last member receives
-nothing for 6.5 s."""
+"""The primary is lost for good, and its successor crashes for 6.9 s, while the last member receives
+nothing for 5.9 s."""
 
 import asyncio
 import pathlib
@@ -10,10 +10,10 @@
 from stage import Stage
 from stage import play
 
-DEAF_S = 6.5
+DEAF_S = 5.9
 LOST_AFTER_S = 0.7
 CRASH_AFTER_S = 5.0
-CRASH_S = 7.0
+CRASH_S = 6.9
 
 
 async def case(stage):
