--- a/core/src/commit_protection.rs
+++ b/core/src/commit_protection.rs
@@ -1,6 +1,7 @@
 //! Chooses the member that replaces a lost primary, and decides whether it may be promoted although it
 //! may lack acknowledged commits. Performs no input or output.
 
+use crate::commit_checkpoint::CommitCheckpoint;
 use crate::failover::MemberView;
 use crate::log_position::LogPosition;
 use crate::member::MemberKey;
@@ -33,10 +34,13 @@
     /// Position of the last primary when this owner adopted it; `None` if it has served no primary. Not
     /// all of it need have been acknowledged.
     pub adopted: Option<LogPosition>,
-    /// Number of replicas that have received a commit before the primary acknowledges it.
-    pub sync_replicas: usize,
-    /// Primary that was last served, by this owner or a former one.
-    pub former_primary: Option<Name>,
+    /// Number of replicas that have received a commit before the primary acknowledges it; `None` if it
+    /// is not known.
+    pub sync_replicas: Option<usize>,
+    /// Where the commits are that synchronous replicas protect, if any owner has recorded that.
+    pub checkpoint: Option<CommitCheckpoint>,
+    /// Members that are missing from the list and may return with commits.
+    pub may_return: Vec<MemberKey>,
     /// Time from which on a report of a log is later than the last acknowledged commit, in
     /// milliseconds.
     pub read_since_ms: u64,
@@ -53,32 +57,36 @@
         self.acknowledged.max(self.adopted)
     }
 
+    /// Returns whether no acknowledged commit may be lost for as long as a member that may have it can
+    /// return. Commits of a time with synchronous replicas are protected after it as well.
+    pub fn is_protected(&self) -> bool {
+        self.sync_replicas != Some(0) || self.checkpoint.is_some()
+    }
+
     /// Returns whether a member that has reported its log is known to have every acknowledged commit.
     ///
-    /// An owner that has acknowledged nothing itself may know that by the number of logs: each
-    /// acknowledged commit is in those of the primary and of `sync_replicas` others, so the newest log
-    /// has it if fewer than that have not been read. Without synchronous replicas an owner that has
-    /// served no primary can know nothing.
+    /// An owner that has acknowledged nothing itself may know that by the number of logs. Without
+    /// synchronous replicas an owner that has served no primary can know nothing.
     pub fn is_complete(&self, members: &[MemberView], member: &MemberView) -> bool {
         if self.needed().is_some_and(|needed| member.position >= needed) {
             return true;
         }
-        match self.sync_replicas {
-            0 => self.needed().is_none(),
-            _ => self.acknowledged.is_none() && self.is_newest_of_enough(members, member),
+        if !self.is_protected() {
+            return self.needed().is_none();
         }
+        let Some(checkpoint) = self.checkpoint.as_ref() else { return false };
+        let counted = match self.sync_replicas {
+            None => return false,
+            Some(0) => checkpoint.sync_replicas,
+            Some(sync_replicas) => sync_replicas,
+        };
+        self.acknowledged.is_none()
+            && checkpoint.is_proven(counted, members, member, |view| self.is_read(view))
     }
 
-    /// Returns whether a member has the newest of so many logs that none which was not read can have
-    /// more of the acknowledged commits. An empty log counts as not read: that of a member which
-    /// started anew is empty whatever it had received.
-    fn is_newest_of_enough(&self, members: &[MemberView], member: &MemberView) -> bool {
-        let (read, unread): (Vec<&MemberView>, Vec<&MemberView>) = members
-            .iter()
-            .filter(|view| Some(&view.key.id) != self.former_primary.as_ref())
-            .partition(|view| self.is_read(view) && view.position != LogPosition::default());
-        let newest = read.into_iter().map(MemberView::log).max();
-        unread.len() < self.sync_replicas && newest.is_some_and(|newest| member.log() >= newest)
+    /// Returns whether a member that was not read may have commits: it is listed, or may return.
+    fn is_log_awaited(&self, members: &[MemberView]) -> bool {
+        !self.may_return.is_empty() || !members.iter().all(|member| self.is_read(member))
     }
 }
 
@@ -96,7 +104,8 @@
 }
 
 /// Chooses the successor of a lost primary. Without synchronous replicas it waits up to a limit for
-/// one that has all acknowledged commits, with them for as long as a listed member may have them.
+/// one that has all acknowledged commits, with them for as long as a member may have them that is listed
+/// or may return.
 #[derive(Debug, Default)]
 pub struct CommitProtection {
     waiting_since_ms: Option<u64>,
@@ -135,11 +144,14 @@
             return Verdict::Complete(member.key.clone());
         }
         let since_ms = *self.waiting_since_ms.get_or_insert(now_ms);
-        let is_over = match evidence.sync_replicas {
-            0 => now_ms.saturating_sub(since_ms) >= limit_ms,
-            _ => complete.is_none() && members.iter().all(|member| evidence.is_read(member)),
+        let is_over = match evidence.is_protected() {
+            false => now_ms.saturating_sub(since_ms) >= limit_ms,
+            true => {
+                let is_known = evidence.sync_replicas.is_some();
+                is_known && complete.is_none() && !evidence.is_log_awaited(members)
+            }
         };
-        self.is_unlimited = !is_over && complete.is_none() && evidence.sync_replicas > 0;
+        self.is_unlimited = !is_over && complete.is_none() && evidence.is_protected();
         if !is_over {
             return complete.map_or(Verdict::Wait, |member| Verdict::Complete(member.key.clone()));
         }
--- a/core/src/failover.rs
+++ b/core/src/failover.rs
@@ -44,6 +44,11 @@
         self.failing_since_ms.is_none() && self.status.is_some()
     }
 
+    /// Returns whether it has reported no log entry, as a member that has started anew.
+    pub fn is_empty(&self) -> bool {
+        self.position == LogPosition::default()
+    }
+
     /// Returns the newest term that the member follows, and its log position. A log is newer than
     /// another one if this is greater.
     pub fn log(&self) -> (u64, LogPosition) {
--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::commit_checkpoint::CommitCheckpoint;
 use crate::name::Name;
 use crate::store_clock::ClockBounds;
 use crate::store_clock::ClockReading;
@@ -90,6 +91,9 @@
     /// Primary that was last served.
     #[serde(default)]
     pub primary: Option<Name>,
+    /// Where the commits are that synchronous replicas protect, if there are any.
+    #[serde(default)]
+    pub checkpoint: Option<CommitCheckpoint>,
     /// Upper bound of the store's clock when the record was sent, in milliseconds.
     #[serde(default)]
     pub sent_at_store_ms: Option<u64>,
@@ -102,6 +106,7 @@
             primary: self.primary.clone(),
             pending_promotion: self.pending_promotion.clone(),
             pending_term: self.pending_term,
+            checkpoint: self.checkpoint.clone(),
         }
     }
 }
@@ -396,6 +401,7 @@
             term: leadership.term,
             pending_term: leadership.pending_term,
             primary: leadership.primary,
+            checkpoint: leadership.checkpoint,
             sent_at_store_ms: self.store_clock.at_most_ms(now_ms),
         };
         Some(LeaseWrite { service: service.clone(), record, expected: lease.version })
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod clock;
+pub mod commit_checkpoint;
 pub mod commit_history;
 pub mod commit_protection;
 pub mod configuration;
@@ -19,6 +20,7 @@
 pub mod configuration_watch;
 mod digest;
 pub mod failover;
+pub mod known_members;
 mod lease_records;
 pub mod lease_table;
 pub mod limits;
@@ -59,6 +61,7 @@
 pub mod store_clock;
 pub mod succession;
 pub mod sync;
+pub mod sync_replicas;
 pub mod tenant_bucket;
 pub mod tenant_rates;
 pub mod token_bucket;
--- a/core/src/member_directory.rs
+++ b/core/src/member_directory.rs
@@ -54,6 +54,11 @@
         self.reads.send_modify(|count| *count += 1);
     }
 
+    /// Returns the newest list with the time at which the store had it, if one is known.
+    pub fn listed(&self) -> Option<(u64, Arc<Vec<MemberEntry>>)> {
+        lock(&self.listed).as_ref().map(|listed| (listed.read_at_ms, listed.entries.clone()))
+    }
+
     /// Returns the newest list, if one is known.
     pub fn entries(&self) -> Option<Arc<Vec<MemberEntry>>> {
         lock(&self.listed).as_ref().map(|listed| listed.entries.clone())
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -233,6 +233,7 @@
             metrics: node.metrics.clone(),
             usage: node.usage.meter.clone(),
             promotion_wait_ms: node.settings.promotion_wait_ms,
+            apply_limit_ms: node.settings.apply_limit_ms,
             node: node.clone(),
         };
         log::info!(event = "ownership_started", service = &*name, token = token; "");
--- a/core/src/service.rs
+++ b/core/src/service.rs
@@ -11,6 +11,7 @@
 
 mod admission_control;
 mod borrowed;
+mod commit_records;
 mod exchange;
 mod idle_transactions;
 mod monitor;
@@ -41,6 +42,7 @@
 use crate::commit_protection::CommitLoss;
 use crate::commit_protection::CommitProtection;
 use crate::configuration_watch::ConfigurationWatch;
+use crate::known_members::KnownMembers;
 use crate::member::MemberConnector;
 use crate::member::MemberKey;
 use crate::member::MemberPromoter;
@@ -63,6 +65,7 @@
 use crate::succession::Leadership;
 use crate::succession::Succession;
 use crate::sync::lock;
+use crate::sync_replicas::SyncReplicas;
 use crate::tenant_rates::TenantRates;
 use crate::token_grant::TokenGrant;
 use crate::usage::meter::UsageMeter;
@@ -101,6 +104,8 @@
     pub usage: Arc<UsageMeter>,
     /// Longest wait for a successor that has every acknowledged commit, in milliseconds.
     pub promotion_wait_ms: u64,
+    /// Time within which a configuration is in force, in milliseconds.
+    pub apply_limit_ms: u64,
     /// The node itself.
     pub node: Arc<dyn NodeHandle>,
 }
@@ -139,7 +144,8 @@
     pub reason: String,
 }
 
-/// Commit history under the last adopted primary, and the rate limits that this owner counts.
+/// What is known of the commits and of the members that have them, and the rate limits that this owner
+/// counts.
 #[derive(Default)]
 struct ServiceState {
     history: Option<CommitHistory>,
@@ -148,6 +154,10 @@
     pending_loss: Option<CommitLoss>,
     /// Commits that the last promotion which lost any has lost.
     last_loss: Option<CommitLoss>,
+    known_members: KnownMembers,
+    sync_replicas: SyncReplicas,
+    /// Time from which on a checkpoint is recorded, after it could not be.
+    record_checkpoint_from_ms: u64,
     rates: TenantRates,
 }
 
@@ -194,6 +204,13 @@
         valid_until_ms: u64,
         leadership: Leadership,
     ) -> Arc<Self> {
+        let state = ServiceState {
+            known_members: KnownMembers::new(&leadership.possible_holders()),
+            sync_replicas: SyncReplicas::new(
+                leadership.checkpoint.as_ref().map_or(0, |checkpoint| checkpoint.sync_replicas),
+            ),
+            ..ServiceState::default()
+        };
         let service = Arc::new(Self {
             name,
             fencing_token,
@@ -209,7 +226,7 @@
             grant_senders: Mutex::default(),
             refusal_log: Mutex::new(RefusalLog::new(now_ms())),
             pressure: Mutex::default(),
-            state: Mutex::default(),
+            state: Mutex::new(state),
             succession: Mutex::new(Succession::new(now_ms(), leadership)),
             idle_transactions: Mutex::new(TransactionTable::new(fencing_token)),
             running_transactions: AtomicU64::new(0),
--- a/core/src/service/monitor.rs
+++ b/core/src/service/monitor.rs
@@ -13,7 +13,6 @@
 use crate::member::MemberEntry;
 use crate::member::MemberKey;
 use crate::member::MemberStatus;
-use crate::name::Name;
 use crate::service::OwnedService;
 use crate::service::probe::ProbeConnections;
 use crate::sync::lock;
@@ -35,14 +34,9 @@
 /// primary is chosen among the others, in milliseconds.
 const REPORT_LIMIT_MS: u64 = 1_000;
 
-/// Number of successive reads of the member list for which a member that is missing from it is
-/// kept: entries expire while the store is unreachable and come back within seconds.
-const MAX_MISSED_READS: u32 = 3;
-
 impl OwnedService {
     /// Applies changes of the member list and of the configuration until the service stops.
     pub(super) async fn discover(self: Arc<Self>) {
-        let mut known: Vec<(MemberEntry, u32)> = Vec::new();
         let mut changes = self.context.configuration.changes();
         let mut reads = self.context.members.reads();
         reads.mark_changed();
@@ -53,8 +47,8 @@
                     if changed.is_err() {
                         return;
                     }
-                    if let Some(entries) = self.context.members.entries() {
-                        known = merge_entries(known, &entries, &self.name);
+                    if let Some((read_at_ms, entries)) = self.context.members.listed() {
+                        lock(&self.state).known_members.apply(read_at_ms, &entries, &self.name);
                     }
                 }
                 changed = changes.changed() => {
@@ -63,7 +57,8 @@
                     }
                 }
             }
-            self.apply_members(known.iter().map(|(entry, _)| entry.clone()).collect());
+            let usable = lock(&self.state).known_members.usable();
+            self.apply_members(usable);
         }
     }
 
@@ -125,6 +120,7 @@
             if self.resume_promotion(&mut probe_connections, without_primary_since_ms).await {
                 continue;
             }
+            self.renew_checkpoint().await;
             let (primary, mut views) = self.member_views();
             if primary.is_some() {
                 without_primary_since_ms = now_ms();
@@ -273,24 +269,3 @@
 fn answers(member: &MemberKey, views: &[MemberView]) -> bool {
     views.iter().any(|view| view.key == *member && view.failing_since_ms.is_none())
 }
-
-/// Merges the entries of a service in a newly read list into the known ones. Members that are
-/// missing from it stay for `MAX_MISSED_READS` reads, unless they are draining.
-fn merge_entries(
-    known: Vec<(MemberEntry, u32)>,
-    read: &[MemberEntry],
-    service: &Name,
-) -> Vec<(MemberEntry, u32)> {
-    let mut merged: Vec<(MemberEntry, u32)> = read
-        .iter()
-        .filter(|entry| entry.service == *service)
-        .map(|entry| (entry.clone(), 0))
-        .collect();
-    for (entry, misses) in known {
-        let is_listed = merged.iter().any(|(listed, _)| listed.key.id == entry.key.id);
-        if !is_listed && !entry.is_draining && misses < MAX_MISSED_READS {
-            merged.push((entry, misses + 1));
-        }
-    }
-    merged
-}
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -5,7 +5,6 @@
 
 use crate::clock::now_ms;
 use crate::commit_history::CommitHistory;
-use crate::commit_protection::CommitEvidence;
 use crate::commit_protection::Verdict;
 use crate::failover::MemberView;
 use crate::member::MemberCommand;
@@ -60,9 +59,7 @@
         let Some((status, is_current)) = self.status_for_adoption(leader, status).await else {
             return false;
         };
-        if lock(&self.succession).must_record(status.term)
-            && !self.record_served(leader, status.term).await
-        {
+        if self.must_record(leader, status.term) && !self.record_served(leader, status.term).await {
             tokio::time::sleep(RECORD_RETRY).await;
             return false;
         }
@@ -132,28 +129,12 @@
     }
 
     /// Returns what the lease records about the primary.
-    fn leadership(&self) -> Leadership {
+    pub(super) fn leadership(&self) -> Leadership {
         lock(&self.succession).recorded().clone()
     }
 
-    /// Records that a member serves as primary of a term and that no promotion is pending. Returns
-    /// whether that is stored.
-    async fn record_served(&self, primary: &MemberKey, term: u64) -> bool {
-        let leadership = Leadership::served(primary.id.clone(), term);
-        self.leadership() == leadership || self.record_leadership(leadership).await
-    }
-
-    /// Records the primary in use, if the record differs.
-    pub(super) async fn record_primary_in_use(&self) {
-        let served_term = lock(&self.state).history.as_ref().map(CommitHistory::term);
-        let primary = lock(&self.pool).primary().cloned();
-        if let (Some(term), Some(primary)) = (served_term, primary) {
-            self.record_served(&primary, term).await;
-        }
-    }
-
     /// Records what the next owner must know about the primary. Returns whether it is stored.
-    async fn record_leadership(&self, leadership: Leadership) -> bool {
+    pub(super) async fn record_leadership(&self, leadership: Leadership) -> bool {
         let term = leadership.term;
         let is_recorded = self.context.node.record_leadership(&self.name, leadership.clone()).await;
         let mut succession = lock(&self.succession);
@@ -203,7 +184,7 @@
         read_since_ms: u64,
     ) -> Option<MemberKey> {
         let (_, views) = self.member_views();
-        let evidence = self.commit_evidence(read_since_ms);
+        let evidence = self.commit_evidence(&views, read_since_ms);
         let limit_ms = self.context.promotion_wait_ms;
         let mut state = lock(&self.state);
         let was_waiting = state.commit_protection.is_waiting();
@@ -226,30 +207,14 @@
                 logs = logs.collect::<Vec<_>>().join(","),
                 acknowledged = format!("{:?}", evidence.acknowledged),
                 adopted = format!("{:?}", evidence.adopted),
-                sync_replicas = evidence.sync_replicas, limit_ms = limit_ms; ""
+                sync_replicas = format!("{:?}", evidence.sync_replicas),
+                checkpoint = format!("{:?}", evidence.checkpoint),
+                may_return = format!("{:?}", evidence.may_return), limit_ms = limit_ms; ""
             );
         }
         successor
     }
 
-    /// Returns what is known of the acknowledged commits, for logs that were reported since
-    /// `read_since_ms`.
-    fn commit_evidence(&self, read_since_ms: u64) -> CommitEvidence {
-        let limits = self.context.configuration.known().and_then(|known| {
-            known.configuration.services.get(&self.name).map(|limits| limits.sync_replicas)
-        });
-        let former_primary = self.leadership().primary;
-        let state = lock(&self.state);
-        let history = state.history.as_ref();
-        CommitEvidence {
-            acknowledged: history.and_then(CommitHistory::acknowledged),
-            adopted: history.map(CommitHistory::base),
-            sync_replicas: limits.unwrap_or(0),
-            former_primary,
-            read_since_ms,
-        }
-    }
-
     /// Returns the primary in use, or else the recorded one, if this node does not reach it.
     fn unreachable_primary(&self, primary: Option<&MemberKey>) -> Option<MemberEntry> {
         let recorded = self.leadership().primary;
@@ -530,11 +495,11 @@
         true
     }
 
-    /// Returns whether a member is known to have every acknowledged commit, where the service has
-    /// synchronous replicas; elsewhere nothing is required of it.
+    /// Returns whether a member is known to have every acknowledged commit, where synchronous replicas
+    /// protect some; elsewhere nothing is required of it.
     fn is_known_complete(&self, key: &MemberKey, views: &[MemberView], read_since_ms: u64) -> bool {
-        let evidence = self.commit_evidence(read_since_ms);
-        evidence.sync_replicas == 0
+        let evidence = self.commit_evidence(views, read_since_ms);
+        !evidence.is_protected()
             || views
                 .iter()
                 .find(|view| view.key == *key)
--- a/core/src/succession.rs
+++ b/core/src/succession.rs
@@ -1,6 +1,7 @@
 //! The terms of a service's primaries across its owners: which primary may serve, and what the next
 //! owner must know first. Performs no input or output.
 
+use crate::commit_checkpoint::CommitCheckpoint;
 use crate::failover::MemberView;
 use crate::member::MemberKey;
 use crate::name::Name;
@@ -18,6 +19,8 @@
     /// Least term that this member leads once its promotion has taken effect: less than `term` if
     /// earlier orders, for other members, may have begun terms as well; 0 if it is `term`.
     pub pending_term: u64,
+    /// Where the commits are that synchronous replicas protect, if there are any.
+    pub checkpoint: Option<CommitCheckpoint>,
 }
 
 impl Leadership {
@@ -26,6 +29,15 @@
         Self { term, primary: Some(primary), ..Self::default() }
     }
 
+    /// Returns the members that may have commits, as far as the record names them.
+    pub fn possible_holders(&self) -> Vec<MemberKey> {
+        let primary = || {
+            let primary = self.primary.iter().cloned();
+            primary.map(|id| MemberKey { id, incarnation: 0 }).collect()
+        };
+        self.checkpoint.as_ref().map_or_else(primary, |checkpoint| checkpoint.members.clone())
+    }
+
     /// Returns the least term that the member whose promotion is pending leads once that has taken
     /// effect.
     pub fn min_pending_term(&self) -> u64 {
@@ -148,6 +160,7 @@
             primary: self.recorded.primary.clone(),
             pending_promotion: Some(member.clone()),
             pending_term,
+            checkpoint: self.recorded.checkpoint.clone(),
         }
     }
 
--- a/core/tests/core/commit_evidence.rs
+++ b/core/tests/core/commit_evidence.rs
@@ -3,6 +3,7 @@
 
 use proptest::prelude::*;
 
+use snipehead_core::commit_checkpoint::CommitCheckpoint;
 use snipehead_core::commit_protection::CommitEvidence;
 use snipehead_core::commit_protection::CommitProtection;
 use snipehead_core::commit_protection::Verdict;
@@ -139,8 +140,12 @@
         let evidence = CommitEvidence {
             acknowledged: self.has_acknowledged.then(|| LogPosition::new(1, self.acknowledged)),
             adopted: self.adopted.map(|position| LogPosition::new(1, position)),
-            sync_replicas: self.sync_replicas,
-            former_primary: Some(views[0].key.id.clone()),
+            sync_replicas: Some(self.sync_replicas),
+            checkpoint: (self.sync_replicas > 0).then(|| {
+                let members = views.iter().map(|view| view.key.clone()).collect();
+                CommitCheckpoint::new(self.sync_replicas, members)
+            }),
+            may_return: Vec::new(),
             read_since_ms: self.lost_since_ms,
         };
         let primary = Some(&views[0].key);
--- a/core/tests/core/commit_protections.rs
+++ b/core/tests/core/commit_protections.rs
@@ -6,9 +6,11 @@
 
 use proptest::prelude::*;
 
+use crate::test_cluster::APPLY_LIMIT_MS;
 use crate::test_cluster::PROMOTION_WAIT_MS;
 use crate::test_cluster::TestCluster;
 use crate::test_cluster::run;
+use snipehead_core::commit_checkpoint::CommitCheckpoint;
 use snipehead_core::commit_protection::CommitEvidence;
 use snipehead_core::commit_protection::CommitLoss;
 use snipehead_core::commit_protection::CommitProtection;
@@ -85,8 +87,11 @@
                 }
                 Event::Check { after_ms } => {
                     now_ms += after_ms;
-                    let evidence =
-                        CommitEvidence { acknowledged: Some(acknowledged), ..Default::default() };
+                    let evidence = CommitEvidence {
+                        acknowledged: Some(acknowledged),
+                        sync_replicas: Some(0),
+                        ..CommitEvidence::default()
+                    };
                     let successor = view(2, held);
                     let member = successor.key.clone();
                     let members = [successor];
@@ -115,7 +120,8 @@
 fn an_owner_that_has_served_no_primary_does_not_wait_without_synchronous_replicas() {
     let mut protection = CommitProtection::default();
     let members = [view(2, LogPosition::new(1, 5))];
-    let verdict = protection.choose(0, LIMIT_MS, &CommitEvidence::default(), &members, None);
+    let evidence = CommitEvidence { sync_replicas: Some(0), ..CommitEvidence::default() };
+    let verdict = protection.choose(0, LIMIT_MS, &evidence, &members, None);
     assert_eq!(verdict, Verdict::Complete(members[0].key.clone()));
     assert!(!protection.is_waiting());
 }
@@ -124,9 +130,10 @@
 #[test]
 fn an_owner_that_has_served_no_primary_counts_the_logs_of_synchronous_replicas() {
     let mut protection = CommitProtection::default();
+    let members = (1..=3).map(|number| view(number, POSITION).key).collect();
     let evidence = CommitEvidence {
-        sync_replicas: 1,
-        former_primary: Some("m1".into()),
+        sync_replicas: Some(1),
+        checkpoint: Some(CommitCheckpoint::new(1, members)),
         ..CommitEvidence::default()
     };
     let silent = |number| MemberView { failing_since_ms: Some(1), ..view(number, POSITION) };
@@ -137,8 +144,9 @@
     assert_eq!(choose(&members), Verdict::Wait);
     members[1] = view(2, POSITION);
     assert_eq!(choose(&members), Verdict::Complete(members[1].key.clone()));
-    // The second member has left the service.
-    assert_eq!(choose(&[silent(1), members[2].clone()]), Verdict::Complete(members[2].key.clone()));
+    // A member that has left the service took its copies with it, so the first one is waited for.
+    assert_eq!(choose(&[silent(1), members[2].clone()]), Verdict::Wait);
+    assert_eq!(choose(&[members[2].clone()]), Verdict::Complete(members[2].key.clone()));
 }
 
 /// Starts a cluster in which only the primary has the last acknowledged write, and stops the primary.
@@ -258,3 +266,27 @@
     cluster.wait_until_serving(0).await;
     assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
 }
+
+/// Guards against review/11: after an outage of the store, a new owner took the log of the only listed member
+/// for complete and had it promoted, although the primary and the replica with all commits ran.
+#[tokio::test]
+async fn a_new_owner_waits_for_members_that_are_not_listed_yet() {
+    let mut cluster = TestCluster::start(1).await;
+    cluster.set_sync_replicas(1).await;
+    // The number of synchronous replicas counts once every member must have applied it.
+    tokio::time::sleep(Duration::from_millis(APPLY_LIMIT_MS)).await;
+    cluster.group.stall_replication("m3");
+    let mut session = cluster.open(0, "bookings");
+    for number in 0..5 {
+        run(&mut session, &format!("w{number}"), "STORE a 1").await.expect("written");
+    }
+    let entries = cluster.group.entries();
+    cluster.store.set_members(entries[2..].to_vec());
+    cluster.restart_host(0).await;
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    assert_eq!(cluster.group.promotions(), []);
+    cluster.store.set_members(entries);
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m1"));
+    assert_eq!(cluster.group.promotions(), []);
+}
--- a/core/tests/core/extreme_values.rs
+++ b/core/tests/core/extreme_values.rs
@@ -54,6 +54,7 @@
         term,
         pending_term: 0,
         primary: None,
+        checkpoint: None,
         sent_at_store_ms,
     }
 }
@@ -112,8 +113,12 @@
         served in extreme(),
     ) {
         let pending_promotion = Some("m1".into());
-        let leadership =
-            Leadership { term: recorded, primary: None, pending_promotion, pending_term };
+        let leadership = Leadership {
+            term: recorded,
+            pending_promotion,
+            pending_term,
+            ..Leadership::default()
+        };
         let mut succession = Succession::new(recorded, leadership);
         succession.set_served_term(served);
         let promotion = succession.promotion_of(&"m2".into(), reported);
--- a/core/tests/core/leases.rs
+++ b/core/tests/core/leases.rs
@@ -160,6 +160,7 @@
         term: 0,
         pending_term: 0,
         primary: None,
+        checkpoint: None,
         sent_at_store_ms: None,
     }
 }
--- a/core/tests/core/member_lists.rs
+++ b/core/tests/core/member_lists.rs
@@ -2,6 +2,8 @@
 
 use proptest::prelude::*;
 
+use snipehead_core::known_members::KnownMembers;
+use snipehead_core::known_members::RETURN_LIMIT_MS;
 use snipehead_core::member::MemberEntry;
 use snipehead_core::member::MemberKey;
 use snipehead_core::member_directory::MemberDirectory;
@@ -45,3 +47,43 @@
         }
     }
 }
+
+/// The absence of a member counts from the first of successive reads. Reads before an outage, or those of a
+/// former owner, prove nothing.
+#[test]
+fn a_missing_member_is_gone_after_successive_reads_without_it() {
+    let service = "dispatch".into();
+    let recorded = [stored(0)[0].key.clone()];
+    let mut known = KnownMembers::new(&recorded);
+    let others = &stored(0)[1..];
+    assert_eq!(known.missing(), recorded);
+    for at_ms in (0..5_000).step_by(1_000) {
+        known.apply(at_ms, others, &service);
+    }
+    let returned_at_ms = 9_000;
+    for at_ms in (returned_at_ms..returned_at_ms + RETURN_LIMIT_MS).step_by(1_000) {
+        known.apply(at_ms, others, &service);
+        assert_eq!(known.missing(), recorded, "gone at {at_ms}");
+    }
+    known.apply(returned_at_ms + RETURN_LIMIT_MS, others, &service);
+    assert_eq!(known.missing(), []);
+    assert_eq!(known.usable(), others);
+}
+
+/// A member whose entry has expired is used until it would be back, unless it was draining.
+#[test]
+fn a_member_is_used_while_its_entry_may_be_late() {
+    let service = "dispatch".into();
+    let mut known = KnownMembers::default();
+    let mut entries = stored(0);
+    entries[1].is_draining = true;
+    known.apply(0, &entries, &service);
+    known.apply(4_000, &entries[2..], &service);
+    assert_eq!(known.usable(), [entries[2].clone(), entries[0].clone()]);
+    assert_eq!(known.missing().len(), 2);
+    (5..7).for_each(|at_s| known.apply(at_s * 1_000, &entries[2..], &service));
+    assert_eq!(known.usable().len(), 2);
+    known.apply(7_000, &entries[2..], &service);
+    assert_eq!(known.usable(), entries[2..]);
+    assert_eq!(known.missing(), [entries[0].key.clone()]);
+}
