--- a/core/src/commit_protection.rs
+++ b/core/src/commit_protection.rs
@@ -75,13 +75,9 @@
             return self.needed().is_none();
         }
         let Some(checkpoint) = self.checkpoint.as_ref() else { return false };
-        let counted = match self.sync_replicas {
-            None => return false,
-            Some(0) => checkpoint.sync_replicas,
-            Some(sync_replicas) => sync_replicas,
-        };
+        let Some(sync_replicas) = self.sync_replicas else { return false };
         self.acknowledged.is_none()
-            && checkpoint.is_proven(counted, members, member, |view| self.is_read(view))
+            && checkpoint.is_proven(sync_replicas, members, member, |view| self.is_read(view))
     }
 
     /// Returns whether a member that was not read may have commits: it is listed, or may return.
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -59,7 +59,9 @@
         let Some((status, is_current)) = self.status_for_adoption(leader, status).await else {
             return false;
         };
-        if self.must_record(leader, status.term) && !self.record_served(leader, status.term).await {
+        if self.must_record(status.term)
+            && !self.record_served(leader, status.term, status.position).await
+        {
             tokio::time::sleep(RECORD_RETRY).await;
             return false;
         }
--- a/core/tests/core/commit_evidence.rs
+++ b/core/tests/core/commit_evidence.rs
@@ -143,7 +143,7 @@
             sync_replicas: Some(self.sync_replicas),
             checkpoint: (self.sync_replicas > 0).then(|| {
                 let members = views.iter().map(|view| view.key.clone()).collect();
-                CommitCheckpoint::new(self.sync_replicas, members)
+                CommitCheckpoint::new(LogPosition::new(1, 0), self.sync_replicas, members)
             }),
             may_return: Vec::new(),
             read_since_ms: self.lost_since_ms,
--- a/core/tests/core/commit_protections.rs
+++ b/core/tests/core/commit_protections.rs
@@ -133,7 +133,7 @@
     let members = (1..=3).map(|number| view(number, POSITION).key).collect();
     let evidence = CommitEvidence {
         sync_replicas: Some(1),
-        checkpoint: Some(CommitCheckpoint::new(1, members)),
+        checkpoint: Some(CommitCheckpoint::new(LogPosition::new(1, 0), 1, members)),
         ..CommitEvidence::default()
     };
     let silent = |number| MemberView { failing_since_ms: Some(1), ..view(number, POSITION) };
@@ -149,6 +149,37 @@
     assert_eq!(choose(&[members[2].clone()]), Verdict::Complete(members[2].key.clone()));
 }
 
+/// Commits of earlier terms may be at the primary of the present one only, whatever number of logs is read.
+#[test]
+fn a_log_without_the_base_is_not_proven_by_the_number_of_logs() {
+    let mut protection = CommitProtection::default();
+    let keys = (2..=3).map(|number| view(number, POSITION).key).collect();
+    let base = LogPosition::new(1, 8);
+    let evidence = CommitEvidence {
+        sync_replicas: Some(1),
+        checkpoint: Some(CommitCheckpoint::new(base, 1, keys)),
+        ..CommitEvidence::default()
+    };
+    let silent = MemberView { failing_since_ms: Some(1), ..view(2, POSITION) };
+    let mut choose = |position| {
+        let members = [silent.clone(), view(3, position)];
+        protection.choose(9 * LIMIT_MS, LIMIT_MS, &evidence, &members, None)
+    };
+    assert_eq!(choose(LogPosition::new(1, 7)), Verdict::Wait);
+    assert_eq!(choose(base), Verdict::Complete(view(3, base).key));
+}
+
+/// Guards against a number of synchronous replicas that is not known, and was taken for none.
+#[test]
+fn nobody_is_promoted_while_the_number_of_synchronous_replicas_is_unknown() {
+    let mut protection = CommitProtection::default();
+    let members = [view(2, POSITION), view(3, POSITION)];
+    let evidence = CommitEvidence::default();
+    let verdict = protection.choose(9 * LIMIT_MS, LIMIT_MS, &evidence, &members, None);
+    assert_eq!(verdict, Verdict::Wait);
+    assert!(protection.is_unlimited());
+}
+
 /// Starts a cluster in which only the primary has the last acknowledged write, and stops the primary.
 async fn lose_primary_with_newest_write() -> TestCluster {
     let cluster = TestCluster::start(1).await;
@@ -290,3 +321,22 @@
     assert_eq!(cluster.group.primary().as_deref(), Some("m1"));
     assert_eq!(cluster.group.promotions(), []);
 }
+
+/// Guards against review/12: after one promotion the successor was left out of the unread logs when it was
+/// lost too, although it was the last member with the commits of the term before.
+#[tokio::test]
+async fn a_lost_successor_that_alone_has_the_commits_is_waited_for() {
+    let cluster = start_with_one_complete_replica().await;
+    lose_primary(&cluster).await;
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+    cluster.store.set_members(cluster.group.entries()[1..].to_vec());
+    tokio::time::sleep(Duration::from_millis(5_000)).await;
+    cluster.group.set_up("m2", false);
+    tokio::time::sleep(Duration::from_millis(SILENT_LIMIT_MS + 3 * PROMOTION_WAIT_MS)).await;
+    let promoted = cluster.group.promotions();
+    assert_eq!(promoted.iter().map(|(member, _)| &**member).collect::<Vec<_>>(), ["m2"]);
+    cluster.group.set_up("m2", true);
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
+}
