--- a/core/src/commit_protection.rs
+++ b/core/src/commit_protection.rs
@@ -6,6 +6,7 @@
 use crate::log_position::LogPosition;
 use crate::member::MemberKey;
 use crate::name::Name;
+use crate::term_start::TermStart;
 
 /// Acknowledged commits that a promoted member lacks.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +40,8 @@
     pub sync_replicas: Option<usize>,
     /// Where the commits are that synchronous replicas protect, if any owner has recorded that.
     pub checkpoint: Option<CommitCheckpoint>,
+    /// Where the newest term began that has served.
+    pub term_start: Option<TermStart>,
     /// Members that are missing from the list and may return with commits.
     pub may_return: Vec<MemberKey>,
     /// Time from which on a report of a log is later than the last acknowledged commit, in
@@ -57,6 +60,24 @@
         self.acknowledged.max(self.adopted)
     }
 
+    /// Returns whether a log has no entries that the newest term has not. Reads of that term lacked them.
+    pub fn is_aligned(&self, member: &MemberView) -> bool {
+        let (held_term, position) = member.log();
+        self.term_start.is_none_or(|start| start.is_aligned(held_term, position))
+    }
+
+    /// Returns the rank of a log among those that may lack acknowledged commits. With synchronous replicas
+    /// entries that the newest term lacks were not acknowledged, so the most commits count; without them
+    /// reads must not be contradicted.
+    fn rank(&self, member: &MemberView) -> (bool, (u64, LogPosition)) {
+        let base = self.checkpoint.as_ref().map(|checkpoint| checkpoint.base);
+        let comes_first = match self.is_protected() {
+            true => base.is_none_or(|base| member.position >= base),
+            false => self.is_aligned(member),
+        };
+        (comes_first, member.log())
+    }
+
     /// Returns whether no acknowledged commit may be lost for as long as a member that may have it can
     /// return. Commits of a time with synchronous replicas are protected after it as well.
     pub fn is_protected(&self) -> bool {
@@ -68,6 +89,9 @@
     /// An owner that has acknowledged nothing itself may know that by the number of logs. Without
     /// synchronous replicas an owner that has served no primary can know nothing.
     pub fn is_complete(&self, members: &[MemberView], member: &MemberView) -> bool {
+        if !self.is_aligned(member) {
+            return false;
+        }
         if self.needed().is_some_and(|needed| member.position >= needed) {
             return true;
         }
@@ -101,7 +125,8 @@
 
 /// Chooses the successor of a lost primary. Without synchronous replicas it waits up to a limit for
 /// one that has all acknowledged commits, with them for as long as a member may have them that is listed
-/// or may return.
+/// or may return. It waits as long while the only logs are those of members that did not follow the newest
+/// term and may have gone on in an earlier one.
 #[derive(Debug, Default)]
 pub struct CommitProtection {
     waiting_since_ms: Option<u64>,
@@ -140,26 +165,30 @@
             return Verdict::Complete(member.key.clone());
         }
         let since_ms = *self.waiting_since_ms.get_or_insert(now_ms);
-        let is_over = match evidence.is_protected() {
+        let aligned = || read().filter(|member| evidence.is_aligned(member));
+        let is_unlimited = evidence.is_protected() || aligned().next().is_none();
+        let is_over = match is_unlimited {
             false => now_ms.saturating_sub(since_ms) >= limit_ms,
             true => {
                 let is_known = evidence.sync_replicas.is_some();
                 is_known && complete.is_none() && !evidence.is_log_awaited(members)
             }
         };
-        self.is_unlimited = !is_over && complete.is_none() && evidence.is_protected();
+        self.is_unlimited = !is_over && complete.is_none() && is_unlimited;
         if !is_over {
             return complete.map_or(Verdict::Wait, |member| Verdict::Complete(member.key.clone()));
         }
         let preference =
-            |member: &&MemberView| (member.log(), !member.must_leave, member.is_replica());
+            |member: &&MemberView| (evidence.rank(member), !member.must_leave, member.is_replica());
         let promotable = || read().filter(|member| !member.is_unpromotable);
         let best = match promotable().all(|member| member.must_leave) {
             true => read().max_by_key(preference),
             false => promotable().max_by_key(preference),
         };
         let Some(best) = best else { return Verdict::Nobody };
-        let acknowledged = evidence.needed().filter(|position| best.position < *position);
+        let start = evidence.term_start.filter(|_| !evidence.is_aligned(best));
+        let lacking = evidence.needed().filter(|position| best.position < *position);
+        let acknowledged = lacking.or(start.map(|start| start.position));
         match acknowledged {
             None => Verdict::Complete(best.key.clone()),
             Some(acknowledged) => {
--- a/core/src/lease_table.rs
+++ b/core/src/lease_table.rs
@@ -21,6 +21,7 @@
 use crate::store_clock::ClockReading;
 use crate::store_clock::StoreClock;
 use crate::succession::Leadership;
+use crate::term_start::TermStart;
 
 /// Validity of a lease after its renewal was sent, in milliseconds. It survives an outage of the
 /// store of nearly three seconds, and bounds how long a service is down when its owner fails.
@@ -94,6 +95,9 @@
     /// Where the commits are that synchronous replicas protect, if there are any.
     #[serde(default)]
     pub checkpoint: Option<CommitCheckpoint>,
+    /// Where the newest term began that has served, or that the pending promotion may have begun.
+    #[serde(default, rename = "start")]
+    pub term_start: Option<TermStart>,
     /// Upper bound of the store's clock when the record was sent, in milliseconds.
     #[serde(default)]
     pub sent_at_store_ms: Option<u64>,
@@ -107,6 +111,7 @@
             pending_promotion: self.pending_promotion.clone(),
             pending_term: self.pending_term,
             checkpoint: self.checkpoint.clone(),
+            term_start: self.term_start,
         }
     }
 }
@@ -402,6 +407,7 @@
             pending_term: leadership.pending_term,
             primary: leadership.primary,
             checkpoint: leadership.checkpoint,
+            term_start: leadership.term_start,
             sent_at_store_ms: self.store_clock.at_most_ms(now_ms),
         };
         Some(LeaseWrite { service: service.clone(), record, expected: lease.version })
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod sync_replicas;
 pub mod tenant_bucket;
 pub mod tenant_rates;
+pub mod term_start;
 pub mod token_bucket;
 pub mod token_cache;
 pub mod token_grant;
--- a/core/src/service/commit_records.rs
+++ b/core/src/service/commit_records.rs
@@ -14,6 +14,7 @@
 use crate::service::probe::ProbeResult;
 use crate::succession::Leadership;
 use crate::sync::lock;
+use crate::term_start::TermStart;
 
 /// Pause after a checkpoint could not be recorded, in milliseconds.
 const CHECKPOINT_RETRY_MS: u64 = 1_000;
@@ -67,7 +68,10 @@
                 Some(CommitCheckpoint::serving(of_term, position, sync_replicas, holders))
             }
         };
-        let leadership = Leadership { checkpoint, ..Leadership::served(primary.id.clone(), term) };
+        let start = lock(&self.succession).term_start().filter(|start| start.term == term);
+        let term_start = Some(start.unwrap_or(TermStart { term, position }));
+        let served = Leadership::served(primary.id.clone(), term);
+        let leadership = Leadership { checkpoint, term_start, ..served };
         recorded == leadership || self.record_leadership(leadership).await
     }
 
@@ -148,6 +152,7 @@
     ) -> CommitEvidence {
         let sync_replicas = self.configured_sync_replicas();
         let checkpoint = self.leadership().checkpoint;
+        let term_start = lock(&self.succession).term_start();
         let state = lock(&self.state);
         let history = state.history.as_ref();
         let is_known = |key: &MemberKey| members.iter().any(|member| member.key.id == key.id);
@@ -157,6 +162,7 @@
             adopted: history.map(CommitHistory::base),
             sync_replicas,
             checkpoint,
+            term_start,
             may_return: missing.filter(|key| !is_known(key)).collect(),
             read_since_ms,
         }
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -24,6 +24,7 @@
 use crate::succession::Leadership;
 use crate::succession::PendingStep;
 use crate::sync::lock;
+use crate::term_start::TermStart;
 
 /// Longest wait for running statements and open transactions of a primary before a planned move, in
 /// milliseconds. New work at the primary has to wait meanwhile.
@@ -71,7 +72,11 @@
             let adopted = CommitHistory::adopt(former, status.term, status.position, is_current);
             state.history = Some(adopted);
         }
-        lock(&self.succession).set_served_term(status.term);
+        {
+            let mut succession = lock(&self.succession);
+            succession.set_served_term(status.term);
+            succession.set_term_start(TermStart { term: status.term, position: status.position });
+        }
         self.settle_commit_loss(leader);
         self.use_primary(Some(leader));
         lock(&self.pool).set_primary_paused(false);
@@ -286,8 +291,13 @@
         loop {
             let Some(entry) = self.entry_of(successor) else { return false };
             self.probe(probe_connections, vec![entry]).await;
-            let position = self.status_of(successor).map(|status| status.position);
-            if position >= newest {
+            let status = self.status_of(successor);
+            let position = status.map(|status| status.position);
+            let start = lock(&self.succession).term_start();
+            let is_aligned = status.zip(start).is_none_or(|(status, start)| {
+                start.is_aligned(status.term.max(status.position.term), status.position)
+            });
+            if position >= newest && is_aligned {
                 return true;
             }
             if now_ms() >= catch_up_until_ms || !self.has_valid_lease() {
@@ -321,10 +331,13 @@
         // The successor may be a former primary that still reports that it is primary, so only a
         // newer term shows that the promotion has taken effect.
         let reported_term = self.newest_reported_term();
+        let held = self.status_of(successor).map(|status| status.position).unwrap_or_default();
         let (former_leadership, leadership) = {
             let succession = lock(&self.succession);
             let promotion = succession.promotion_of(&successor.id, reported_term);
-            (succession.recorded().clone(), promotion)
+            let (term, position) = (promotion.pending_term, held);
+            let term_start = Some(TermStart { term, position });
+            (succession.recorded().clone(), Leadership { term_start, ..promotion })
         };
         let term = leadership.pending_term;
         if !self.record_leadership(leadership).await {
@@ -498,14 +511,14 @@
     }
 
     /// Returns whether a member is known to have every acknowledged commit, where synchronous replicas
-    /// protect some; elsewhere nothing is required of it.
+    /// protect some; elsewhere its log must only be aligned with the newest term.
     fn is_known_complete(&self, key: &MemberKey, views: &[MemberView], read_since_ms: u64) -> bool {
         let evidence = self.commit_evidence(views, read_since_ms);
-        !evidence.is_protected()
-            || views
-                .iter()
-                .find(|view| view.key == *key)
-                .is_some_and(|view| evidence.is_complete(views, view))
+        let view = views.iter().find(|view| view.key == *key);
+        view.is_some_and(|view| match evidence.is_protected() {
+            true => evidence.is_complete(views, view),
+            false => evidence.is_aligned(view),
+        })
     }
 
     async fn demote_former_primary(self: Arc<Self>, former: MemberEntry, term: u64) {
--- a/core/src/succession.rs
+++ b/core/src/succession.rs
@@ -6,6 +6,7 @@
 use crate::member::MemberKey;
 use crate::name::Name;
 use crate::promotion_order::EFFECT_LIMIT_MS;
+use crate::term_start::TermStart;
 
 /// What the next owner of a service must know about its primary. It is stored in the lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -21,6 +22,8 @@
     pub pending_term: u64,
     /// Where the commits are that synchronous replicas protect, if there are any.
     pub checkpoint: Option<CommitCheckpoint>,
+    /// Where the newest term began that has served, or that the pending promotion may have begun.
+    pub term_start: Option<TermStart>,
 }
 
 impl Leadership {
@@ -74,6 +77,7 @@
     /// Least term that the store may have in place of `recorded`, after a write without an answer.
     unconfirmed_term: Option<u64>,
     served_term: u64,
+    term_start: Option<TermStart>,
     /// Time until which the last order may take effect, in milliseconds.
     order_open_until_ms: u64,
 }
@@ -85,7 +89,8 @@
             Some(_) => now_ms.saturating_add(EFFECT_LIMIT_MS),
             None => 0,
         };
-        Self { recorded, unconfirmed_term: None, served_term: 0, order_open_until_ms }
+        let term_start = recorded.term_start;
+        Self { recorded, unconfirmed_term: None, served_term: 0, term_start, order_open_until_ms }
     }
 
     /// Returns what is stored in the lease.
@@ -118,6 +123,19 @@
         self.order_open_until_ms = 0;
     }
 
+    /// Returns where the newest term began that has served or, by the record of a former owner, may have
+    /// served. A promotion that this owner has ordered does not count before its primary serves.
+    pub fn term_start(&self) -> Option<TermStart> {
+        self.term_start
+    }
+
+    /// Records where a term began whose primary is about to serve, unless that is known.
+    pub fn set_term_start(&mut self, start: TermStart) {
+        if self.term_start.is_none_or(|known| known.term < start.term) {
+            self.term_start = Some(start);
+        }
+    }
+
     /// Returns the oldest term whose primary may serve, unless its promotion is the pending one: a
     /// member that leads an older term has been replaced, or is about to be.
     pub fn min_term(&self) -> u64 {
@@ -161,6 +179,7 @@
             pending_promotion: Some(member.clone()),
             pending_term,
             checkpoint: self.recorded.checkpoint.clone(),
+            term_start: self.recorded.term_start,
         }
     }
 
--- a/core/tests/core/commit_checkpoints.rs
+++ b/core/tests/core/commit_checkpoints.rs
@@ -2,10 +2,13 @@
 //! members that crash, start anew, go dark, receive nothing or leave, a store that lists them late, and
 //! changes of the number of synchronous replicas.
 
+use std::collections::BTreeSet;
+
 use proptest::prelude::*;
 
 use crate::group_model::End;
 use crate::group_model::Group;
+use crate::group_model::Promotion;
 use crate::group_model::TICK_MS;
 use snipehead_core::commit_checkpoint::CheckpointStep;
 use snipehead_core::commit_checkpoint::CommitCheckpoint;
@@ -22,6 +25,7 @@
 use snipehead_core::member::MemberKey;
 use snipehead_core::succession::Leadership;
 use snipehead_core::sync_replicas::SyncReplicas;
+use snipehead_core::term_start::TermStart;
 
 const WAIT_LIMIT_MS: u64 = 1_000;
 const APPLY_LIMIT_MS: u64 = 3_000;
@@ -111,6 +115,7 @@
     failing_since_ms: Vec<(MemberKey, u64)>,
     adopted: Option<LogPosition>,
     acknowledged: Option<LogPosition>,
+    term_start: Option<TermStart>,
 }
 
 impl Owner {
@@ -127,6 +132,7 @@
             failing_since_ms: Vec::new(),
             adopted: None,
             acknowledged: None,
+            term_start: record.term_start,
         }
     }
 }
@@ -136,7 +142,8 @@
     owner: Owner,
     record: Leadership,
     configuration_unknown_until_ms: u64,
-    promotions: usize,
+    /// Terms whose primary has served.
+    served_terms: BTreeSet<u64>,
 }
 
 impl Model {
@@ -144,7 +151,8 @@
         let group = Group::new(sync_replicas, seed);
         let record = Leadership::default();
         let owner = Owner::new(group.now_ms, &record);
-        Self { group, owner, record, configuration_unknown_until_ms: 0, promotions: 0 }
+        let served_terms = BTreeSet::new();
+        Self { group, owner, record, configuration_unknown_until_ms: 0, served_terms }
     }
 
     fn configured(&self) -> Option<usize> {
@@ -196,7 +204,9 @@
                 Some(CommitCheckpoint::serving(of_term, position, sync_replicas, holders))
             }
         };
-        Leadership { checkpoint, ..Leadership::served(primary.id.clone(), term) }
+        let start = self.owner.term_start.filter(|start| start.term == term);
+        let term_start = Some(start.unwrap_or(TermStart { term, position }));
+        Leadership { checkpoint, term_start, ..Leadership::served(primary.id.clone(), term) }
     }
 
     fn renew_checkpoint(&mut self, views: &[MemberView]) {
@@ -250,6 +260,10 @@
             return;
         }
         self.owner.primary = Some((key.clone(), term));
+        self.served_terms.insert(term);
+        if self.owner.term_start.is_none_or(|known| known.term < term) {
+            self.owner.term_start = Some(TermStart { term, position });
+        }
         (self.owner.adopted, self.owner.acknowledged) = (Some(position), None);
         self.owner.protection.end_wait();
     }
@@ -262,6 +276,7 @@
             adopted: owner.adopted,
             sync_replicas: self.configured(),
             checkpoint: self.record.checkpoint.clone(),
+            term_start: owner.term_start,
             may_return: owner.known.missing().into_iter().filter(|key| !is_known(key)).collect(),
             read_since_ms,
         }
@@ -289,8 +304,20 @@
         }
         self.owner.primary = None;
         let before = self.group.clone();
-        let Some((term, lost, _)) = self.group.promote(key) else { return Ok(()) };
-        self.promotions += 1;
+        let Some(Promotion { term, lost, revived }) = self.group.promote(key) else {
+            return Ok(());
+        };
+        for (excluding_term, entry) in revived {
+            prop_assert!(
+                !self.served_terms.contains(&excluding_term)
+                    || !before.has_living_follower(excluding_term, &entry, RETURN_LIMIT_MS),
+                "{} has {entry:?}, which term {excluding_term} lacked: {}",
+                key.id,
+                before.summary()
+            );
+        }
+        let held = self.group.find(key).map(|member| member.position()).unwrap_or_default();
+        self.record.term_start = Some(TermStart { term, position: held });
         self.record.pending_promotion = Some(key.id.clone());
         self.record.term = term;
         for entry in lost {
@@ -331,8 +358,13 @@
                 return self.replace(&views, leaderless_since_ms(known, since_ms, &views));
             }
             Decision::Move(key) => {
-                let held = views.iter().find(|view| view.key == key).map(|view| view.position);
-                if held >= self.owner.acknowledged.max(self.owner.adopted) {
+                let evidence = self.evidence(&views, 0);
+                let view = views.iter().find(|view| view.key == key);
+                let is_ready = view.is_some_and(|view| {
+                    Some(view.position) >= evidence.acknowledged.max(evidence.adopted)
+                        && evidence.is_aligned(view)
+                });
+                if is_ready {
                     return self.promote(&key);
                 }
             }
--- a/core/tests/core/commit_evidence.rs
+++ b/core/tests/core/commit_evidence.rs
@@ -145,6 +145,7 @@
                 let members = views.iter().map(|view| view.key.clone()).collect();
                 CommitCheckpoint::new(LogPosition::new(1, 0), self.sync_replicas, members)
             }),
+            term_start: None,
             may_return: Vec::new(),
             read_since_ms: self.lost_since_ms,
         };
--- a/core/tests/core/commit_protections.rs
+++ b/core/tests/core/commit_protections.rs
@@ -340,3 +340,24 @@
     cluster.wait_until_serving(0).await;
     assert_eq!(cluster.group.primary().as_deref(), Some("m2"));
 }
+
+/// Guards against review/13: a former primary with the log of an ended term was promoted while the members of
+/// the newer term were dark, and reads of that term lacked commits that came back.
+#[tokio::test]
+async fn a_former_primary_is_not_promoted_with_the_log_of_an_ended_term() {
+    let cluster = lose_primary_with_newest_write().await;
+    cluster.wait_until_serving(0).await;
+    let successor = cluster.group.primary().expect("a member leads");
+    ["m2", "m3"].iter().for_each(|member| cluster.group.set_up(member, false));
+    cluster.group.restart_as_stale_primary("m1");
+    tokio::time::sleep(Duration::from_millis(SILENT_LIMIT_MS + 3 * PROMOTION_WAIT_MS)).await;
+    assert_eq!(cluster.group.promotions().len(), 1, "{:?}", cluster.group.promotions());
+    let mut session = cluster.open(0, "bookings");
+    let refusal = run(&mut session, "w9", "STORE a 1").await.expect_err("there is no primary");
+    assert_eq!(refusal.failure, Failure::Busy);
+    assert!(refusal.detail.contains("retry after 1000 ms"), "{}", refusal.detail);
+    cluster.group.set_up(&successor, true);
+    cluster.wait_until_serving(0).await;
+    assert_eq!(cluster.group.primary(), Some(successor));
+    assert_eq!(cluster.group.promotions().len(), 1);
+}
--- a/core/tests/core/extreme_values.rs
+++ b/core/tests/core/extreme_values.rs
@@ -55,6 +55,7 @@
         pending_term: 0,
         primary: None,
         checkpoint: None,
+        term_start: None,
         sent_at_store_ms,
     }
 }
--- a/core/tests/core/group_model.rs
+++ b/core/tests/core/group_model.rs
@@ -104,6 +104,16 @@
     }
 }
 
+/// What a promotion did.
+#[derive(Clone, Debug)]
+pub struct Promotion {
+    pub term: u64,
+    /// Protected entries that the promoted log lacks.
+    pub lost: Vec<LogEntry>,
+    /// Entries of the promoted log that a term between, which comes with each, has excluded.
+    pub revived: Vec<(u64, LogEntry)>,
+}
+
 /// The members, the store and what was acknowledged.
 #[derive(Clone, Debug)]
 pub struct Group {
@@ -251,9 +261,8 @@
         }
     }
 
-    /// Promotes a member, and returns its term, the protected entries that it lacks, and those that it
-    /// has although a term between excluded them.
-    pub fn promote(&mut self, key: &MemberKey) -> Option<(u64, Vec<LogEntry>, Vec<LogEntry>)> {
+    /// Promotes a member, if it answers.
+    pub fn promote(&mut self, key: &MemberKey) -> Option<Promotion> {
         let now_ms = self.now_ms;
         let term = self.members.iter().map(|member| member.term).max()? + 1;
         let member =
@@ -264,12 +273,13 @@
             self.protected.iter().filter(|entry| !log.contains(entry)).copied().collect();
         let rolled_back: Vec<LogEntry> =
             self.acknowledged.iter().filter(|entry| !log.contains(entry)).copied().collect();
-        let revived = self.excluded.iter().map(|(_, entry)| *entry);
-        let revived: Vec<LogEntry> = revived.filter(|entry| log.contains(entry)).collect();
+        let (revived, excluded): (Vec<_>, Vec<_>) =
+            self.excluded.iter().copied().partition(|(_, entry)| log.contains(entry));
+        self.excluded = excluded;
         self.protected.retain(|entry| log.contains(entry));
         self.acknowledged.retain(|entry| log.contains(entry));
         self.excluded.extend(rolled_back.into_iter().map(|entry| (term, entry)));
-        Some((term, lost, revived))
+        Some(Promotion { term, lost, revived })
     }
 
     /// Returns whether a member with an entry runs or comes back, and has not been missing from the list
@@ -282,6 +292,18 @@
         })
     }
 
+    /// Returns whether a member that follows a term or a later one, without an entry, runs or comes back,
+    /// and has not been missing from the list for longer than `limit_ms`.
+    pub fn has_living_follower(&self, term: u64, entry: &LogEntry, limit_ms: u64) -> bool {
+        self.members.iter().any(|member| {
+            !member.is_lost()
+                && member.term >= term
+                && !member.log.is_empty()
+                && !member.log.contains(entry)
+                && self.now_ms < member.unlisted_since_ms + limit_ms
+        })
+    }
+
     /// Returns the members' states for a message.
     pub fn summary(&self) -> String {
         let members = self.members.iter().map(|member| {
--- a/core/tests/core/leases.rs
+++ b/core/tests/core/leases.rs
@@ -161,6 +161,7 @@
         pending_term: 0,
         primary: None,
         checkpoint: None,
+        term_start: None,
         sent_at_store_ms: None,
     }
 }
