--- a/core/tests/core/soak.rs
+++ b/core/tests/core/soak.rs
@@ -162,7 +162,7 @@
 ) -> &'static str {
     let member = MEMBERS[random.random_range(0..MEMBERS.len())];
     let pause = Duration::from_millis(random.random_range(100..1_500));
-    match random.random_range(0..12) {
+    match random.random_range(0..13) {
         0 => {
             cluster.store.is_down.store(true, Ordering::Release);
             tokio::time::sleep(pause).await;
@@ -224,6 +224,14 @@
             cluster.store.set_members(cluster.group.entries());
             "member draining"
         }
+        11 => {
+            let mut entries = cluster.group.entries();
+            entries.retain(|entry| &*entry.key.id == member);
+            cluster.store.set_members(entries);
+            tokio::time::sleep(pause).await;
+            cluster.store.set_members(cluster.group.entries());
+            "one member listed"
+        }
         _ => {
             let failures = [Failure::Busy, Failure::Lagging, Failure::ReadOnly, Failure::Failed];
             let failure = failures[random.random_range(0..failures.len())];
@@ -270,6 +278,9 @@
 async fn the_guarantees_hold_under_random_faults(#[case] seed: u64) {
     let mut cluster = TestCluster::start(HOSTS).await;
     cluster.group.promotion_ms.store(PROMOTION_MS, Ordering::Release);
+    if seed.is_multiple_of(2) {
+        cluster.set_sync_replicas(1).await;
+    }
     let nodes = cluster.hosts.iter().map(|host| host.node.clone()).collect();
     let hosts = Arc::new(Mutex::new(nodes));
     let outcomes = Arc::new(OutcomeLog::default());
