Test that a promotion is not resumed for a member that has lost its log

No test failed when the promotion that a former owner had recorded was resumed for any member (is_known_complete always true). commit_protections::a_promotion_is_not_resumed_for_a_member_that_lacks_commits fails then: the order is repeated for a member that has started anew since.

--- a/core/tests/core/commit_protections.rs
+++ b/core/tests/core/commit_protections.rs
@@ -22,6 +22,7 @@
 use snipehead_core::member::MemberKey;
 use snipehead_core::member::MemberStatus;
 use snipehead_core::outcome::Failure;
+use snipehead_core::promotion_order::EFFECT_LIMIT_MS;
 
 const LIMIT_MS: u64 = 1_000;
 
@@ -361,3 +362,29 @@
     assert_eq!(cluster.group.primary(), Some(successor));
     assert_eq!(cluster.group.promotions().len(), 1);
 }
+
+/// Guards against a pending promotion that a new owner resumes although the member has lost its log since.
+#[tokio::test]
+async fn a_promotion_is_not_resumed_for_a_member_that_lacks_commits() {
+    let mut cluster = start_with_one_complete_replica().await;
+    // The number of synchronous replicas counts once every member must have applied it.
+    tokio::time::sleep(Duration::from_millis(APPLY_LIMIT_MS)).await;
+    cluster.group.are_orders_unanswered.store(true, Ordering::Release);
+    cluster.group.set_unpromotable("m2");
+    lose_primary(&cluster).await;
+    let ordered = cluster.group.promotions();
+    assert!(!ordered.is_empty() && ordered.iter().all(|(member, _)| member == "m2"), "{ordered:?}");
+    cluster.group.set_up("m2", false);
+    cluster.kill(0).await;
+    cluster.group.start_anew("m2");
+    cluster.group.set_up("m2", true);
+    cluster.store.set_members(cluster.group.entries());
+    cluster.restart_host(0).await;
+    // Longer than an order that was given before may take.
+    tokio::time::sleep(Duration::from_millis(EFFECT_LIMIT_MS + 2_500)).await;
+    assert_eq!(cluster.group.promotions(), ordered);
+    cluster.group.set_up("m1", true);
+    cluster.wait_until_serving(0).await;
+    let later = cluster.group.promotions().split_off(ordered.len());
+    assert!(later.iter().all(|(member, _)| member == "m1"), "{later:?}");
+}
--- a/core/tests/core/stand_in.rs
+++ b/core/tests/core/stand_in.rs
@@ -166,6 +166,18 @@
         self.with_member(id, |member| member.incarnation += 1);
     }
 
+    /// Starts a member anew under its name: it has lost its log, and lists another incarnation.
+    pub fn start_anew(&self, id: &str) {
+        self.with_member(id, |member| {
+            member.incarnation += 1;
+            (member.term, member.position) = (1, LogPosition::new(1, 0));
+        });
+        let mut members = self.members.lock().expect("the mutex is not poisoned");
+        for (entry, _) in members.values_mut().filter(|(entry, _)| &*entry.key.id == id) {
+            entry.key.incarnation += 10;
+        }
+    }
+
     pub fn stall_replication(&self, id: &str) {
         self.with_member(id, |member| member.stalled_at = Some(member.position));
     }
