Count and log promotions whose proof is missing

With synchronous replicas a member is promoted without a proof once those that may have had later commits have been gone for 10 s. An owner that knows the record only reported nothing then. A log below the recorded base is now counted as a loss, and any other one without a proof as promotion_without_proof.

--- a/core/src/commit_protection.rs
+++ b/core/src/commit_protection.rs
@@ -60,6 +60,11 @@
         self.acknowledged.max(self.adopted)
     }
 
+    /// Returns a position up to which acknowledged commits are known to reach by the record.
+    fn base(&self) -> Option<LogPosition> {
+        self.checkpoint.as_ref().map(|checkpoint| checkpoint.base)
+    }
+
     /// Returns whether a log has no entries that the newest term has not. Reads of that term lacked them.
     pub fn is_aligned(&self, member: &MemberView) -> bool {
         let (held_term, position) = member.log();
@@ -70,9 +75,8 @@
     /// entries that the newest term lacks were not acknowledged, so the most commits count; without them
     /// reads must not be contradicted.
     fn rank(&self, member: &MemberView) -> (bool, (u64, LogPosition)) {
-        let base = self.checkpoint.as_ref().map(|checkpoint| checkpoint.base);
         let comes_first = match self.is_protected() {
-            true => base.is_none_or(|base| member.position >= base),
+            true => self.base().is_none_or(|base| member.position >= base),
             false => self.is_aligned(member),
         };
         (comes_first, member.log())
@@ -187,7 +191,8 @@
         };
         let Some(best) = best else { return Verdict::Nobody };
         let start = evidence.term_start.filter(|_| !evidence.is_aligned(best));
-        let lacking = evidence.needed().filter(|position| best.position < *position);
+        let needed = evidence.needed().max(evidence.base());
+        let lacking = needed.filter(|position| best.position < *position);
         let acknowledged = lacking.or(start.map(|start| start.position));
         match acknowledged {
             None => Verdict::Complete(best.key.clone()),
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::now_ms;
 use crate::commit_history::CommitHistory;
+use crate::commit_protection::CommitEvidence;
 use crate::commit_protection::Verdict;
 use crate::failover::MemberView;
 use crate::member::MemberCommand;
@@ -204,6 +205,9 @@
         };
         state.pending_loss = loss;
         drop(state);
+        if let Verdict::Complete(key) = &verdict {
+            self.report_missing_proof(key, &views, &evidence);
+        }
         if verdict == Verdict::Wait && !was_waiting {
             let logs = views.iter().map(|view| match view.answers() {
                 true => format!("{}={}", view.key.id, view.position),
@@ -222,6 +226,25 @@
         successor
     }
 
+    /// Reports a promotion of a member that may lack acknowledged commits, although none is known.
+    fn report_missing_proof(
+        &self,
+        successor: &MemberKey,
+        views: &[MemberView],
+        evidence: &CommitEvidence,
+    ) {
+        let view = views.iter().find(|view| view.key == *successor);
+        if !evidence.is_protected() || view.is_none_or(|view| evidence.is_complete(views, view)) {
+            return;
+        }
+        self.context.metrics.increment("promotions_without_proof");
+        log::warn!(
+            event = "promotion_without_proof", service = &*self.name, member = &*successor.id,
+            checkpoint = format!("{:?}", evidence.checkpoint), token = self.fencing_token;
+            "members that may have had later commits are gone"
+        );
+    }
+
     /// Returns the primary in use, or else the recorded one, if this node does not reach it.
     fn unreachable_primary(&self, primary: Option<&MemberKey>) -> Option<MemberEntry> {
         let recorded = self.leadership().primary;
