--- a/core/src/commit_protection.rs
+++ b/core/src/commit_protection.rs
@@ -60,7 +60,7 @@
         self.acknowledged.max(self.adopted)
     }
 
-    /// Returns a position up to which acknowledged commits are known to reach by the record.
+    /// Returns the recorded position that a log with all earlier commits has reached.
     fn base(&self) -> Option<LogPosition> {
         self.checkpoint.as_ref().map(|checkpoint| checkpoint.base)
     }
@@ -119,7 +119,7 @@
 pub enum Verdict {
     /// Promote this member, which has every acknowledged commit that is known of.
     Complete(MemberKey),
-    /// Wait for a member that is known to have them: one that returns or answers, or the primary.
+    /// Wait for a member that may have them: one that answers or returns later, or the primary.
     Wait,
     /// Promote this member, which lacks some: the wait is over, or no listed member has them.
     Incomplete(MemberKey, CommitLoss),
--- a/core/src/known_members.rs
+++ b/core/src/known_members.rs
@@ -11,8 +11,8 @@
 /// back, in milliseconds, with a margin for the reads of the list.
 const LISTED_AGAIN_LIMIT_MS: u64 = 2_500;
 
-/// Time for which a member that left the list without a notice may return with its log, in
-/// milliseconds: longer than a crash or a loss of contact lasts, which the list shows late.
+/// Time for which a member that left the list without draining may return with its log, in
+/// milliseconds.
 pub const RETURN_LIMIT_MS: u64 = 10_000;
 
 /// Longest time between two reads of the list in which the store may not have been away, in
@@ -22,7 +22,7 @@
 /// A member that is missing from the list.
 #[derive(Clone, Debug)]
 struct MissingMember {
-    incarnation: u64,
+    key: MemberKey,
     /// Its last entry; `None` if this owner knows it from the record of a former one only.
     entry: Option<MemberEntry>,
     /// Time of the first of the successive reads that lack it; `None` before the first read.
@@ -57,8 +57,8 @@
     /// Creates the members of an owner that has not read the list and knows these from a record.
     pub fn new(recorded: &[MemberKey]) -> Self {
         let missing = recorded.iter().map(|key| {
-            let incarnation = key.incarnation;
-            (key.id.clone(), MissingMember { incarnation, entry: None, missing_since_ms: None })
+            let member = MissingMember { key: key.clone(), entry: None, missing_since_ms: None };
+            (key.id.clone(), member)
         });
         Self { listed: Vec::new(), missing: missing.collect(), read_at_ms: None }
     }
@@ -70,12 +70,10 @@
         let is_own = |entry: &&MemberEntry| entry.service == *service;
         let listed: Vec<MemberEntry> = entries.iter().filter(is_own).cloned().collect();
         for entry in std::mem::replace(&mut self.listed, listed) {
-            let missing = MissingMember {
-                incarnation: entry.key.incarnation,
-                entry: Some(entry.clone()),
-                missing_since_ms: None,
-            };
-            self.missing.insert(entry.key.id, missing);
+            let key = entry.key.clone();
+            let id = key.id.clone();
+            let member = MissingMember { key, entry: Some(entry), missing_since_ms: None };
+            self.missing.insert(id, member);
         }
         for entry in &self.listed {
             self.missing.remove(&entry.key.id);
@@ -109,10 +107,6 @@
 
     /// Returns the members that are missing from the list and may return.
     pub fn missing(&self) -> Vec<MemberKey> {
-        let missing = self.missing.iter().map(|(id, member)| {
-            let (id, incarnation) = (id.clone(), member.incarnation);
-            MemberKey { id, incarnation }
-        });
-        missing.collect()
+        self.missing.values().map(|member| member.key.clone()).collect()
     }
 }
--- a/core/src/service/commit_records.rs
+++ b/core/src/service/commit_records.rs
@@ -35,6 +35,7 @@
         Some(lock(&self.state).sync_replicas.observe(now_ms(), configured, limit_ms))
     }
 
+    /// Returns the members that may have, or may receive, commits.
     fn possible_holders(&self) -> Vec<MemberKey> {
         lock(&self.state).known_members.possible_holders()
     }
@@ -94,10 +95,9 @@
         let primary = lock(&self.pool).primary().cloned();
         let (Some(term), Some(primary)) = (term, primary) else { return };
         let recorded = self.leadership();
-        if recorded.pending_promotion.is_some() || recorded.term != term || now_ms() < from_ms {
-            return;
-        }
-        if recorded.checkpoint.is_none() && sync_replicas == 0 {
+        let is_settled = recorded.pending_promotion.is_none() && recorded.term == term;
+        let is_protected = recorded.checkpoint.is_some() || sync_replicas > 0;
+        if !is_settled || !is_protected || now_ms() < from_ms {
             return;
         }
         let holders = self.possible_holders();
--- a/core/src/service/promotion.rs
+++ b/core/src/service/promotion.rs
@@ -317,9 +317,9 @@
             let status = self.status_of(successor);
             let position = status.map(|status| status.position);
             let start = lock(&self.succession).term_start();
-            let is_aligned = status.zip(start).is_none_or(|(status, start)| {
-                start.is_aligned(status.term.max(status.position.term), status.position)
-            });
+            let is_aligned = status
+                .zip(start)
+                .is_none_or(|(status, start)| start.is_aligned(status.term, status.position));
             if position >= newest && is_aligned {
                 return true;
             }
--- a/core/src/term_start.rs
+++ b/core/src/term_start.rs
@@ -19,14 +19,14 @@
 
 impl TermStart {
     /// Returns whether a log is known to be a part of that of this term, or follows it. That of a primary
-    /// which went on after it was replaced is neither, and an empty one has lost what it had. `held_term` is
-    /// the newest term that the member follows.
-    pub fn is_aligned(&self, held_term: u64, position: LogPosition) -> bool {
+    /// which went on after it was replaced is neither, and an empty one has lost what it had. `followed_term`
+    /// is the term that the member reports.
+    pub fn is_aligned(&self, followed_term: u64, position: LogPosition) -> bool {
         if position == LogPosition::default() {
             return self.position == LogPosition::default();
         }
         let is_part = position.term == self.position.term && position <= self.position;
-        held_term >= self.term || is_part
+        followed_term.max(position.term) >= self.term || is_part
     }
 }
 
